Replace whole configurations by version, and let control use other databases

A configuration replaces services, routes, client accounts and keys at once; the highest version is in force. Data centres are placed on their own. Databases may leave their term out of announcements and state an incarnation and a sequence instead, so that late announcements do not count. The orders to databases stand behind DatabaseAdmin, and pools behind PoolTable.

--- a/libs/backend/siskinsail_backend/_allowance_watcher.py
+++ b/libs/backend/siskinsail_backend/_allowance_watcher.py
@@ -1,13 +1,12 @@
 """Wakes the pools whose allowance changed."""
 
 from collections.abc import Mapping
+from typing import Protocol
 
 import anyio
 
 from siskinsail_types import DatabaseId
 
-from ._pool import ConnectionPool
-
 # Bounds the time for which a pool keeps what is no longer lent to it.
 _CHECK_INTERVAL_S = 0.05
 # Pools that have no connection and may open none are looked at once in so
@@ -15,6 +14,19 @@
 _UNUSED_ROUNDS = 5
 
 
+class WatchedPool(Protocol):
+    """The part of a pool that the watcher uses."""
+
+    @property
+    def is_used(self) -> bool:
+        """Whether the pool has connections or may open some."""
+        ...
+
+    def check_allowance(self) -> None:
+        """Take note that the allowance may have changed."""
+        ...
+
+
 class AllowanceWatcher:
     """Compares the allowances of all pools with what the pools applied.
 
@@ -28,7 +40,7 @@
         Pools by database; may change while the watcher runs.
     """
 
-    def __init__(self, pools: Mapping[DatabaseId, ConnectionPool]) -> None:
+    def __init__(self, pools: Mapping[DatabaseId, WatchedPool]) -> None:
         self._pools = pools
 
     async def run(self) -> None:
--- /dev/null
+++ b/libs/backend/siskinsail_backend/_pool_table.py
@@ -0,0 +1,231 @@
+"""The pools of all databases that the view names."""
+
+from collections.abc import Callable
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+import anyio
+import anyio.abc
+
+from siskinsail_catalogue import BackendServer
+from siskinsail_catalogue import View
+from siskinsail_catalogue import ViewSource
+from siskinsail_types import Address
+from siskinsail_types import Clock
+from siskinsail_types import ConnectionAllowance
+from siskinsail_types import DatabaseId
+from siskinsail_types import GroupPhase
+from siskinsail_types import ServiceId
+
+from ._allowance_watcher import AllowanceWatcher
+from ._queue import QueueLimits
+from ._settings import BackendSettings
+from ._term_history import TermHistory
+
+
+class DatabasePool(Protocol):
+    """Connections of this daemon to one database, of any kind."""
+
+    database: DatabaseId
+    remote: Address
+
+    @property
+    def open_connections(self) -> int:
+        """Connections open, being opened or not closed yet."""
+        ...
+
+    @property
+    def wanted_connections(self) -> int:
+        """Connections that would all be busy now."""
+        ...
+
+    @property
+    def busy_connections(self) -> int:
+        """Connections that requests hold now."""
+        ...
+
+    @property
+    def idle_connections(self) -> int:
+        """Connections that are open and free."""
+        ...
+
+    @property
+    def is_used(self) -> bool:
+        """Whether the pool has connections or may open some."""
+        ...
+
+    def check_allowance(self) -> None:
+        """Take note that the allowance may have changed."""
+        ...
+
+    def reroute_waiters(self) -> None:
+        """Send all waiting requests back to choose a database again."""
+        ...
+
+    def close(self) -> None:
+        """Take no more requests; connections in use close on release."""
+        ...
+
+    async def run(self) -> None:
+        """Keep the pool until it is closed."""
+        ...
+
+
+PoolT = TypeVar('PoolT', bound=DatabasePool)
+
+
+class PoolTable(Generic[PoolT]):
+    """One pool for each announced database.
+
+    Implements ``siskinsail_types.ConnectionUsage``.
+
+    Parameters
+    ----------
+    settings : BackendSettings
+        Handed to the pools.
+    allowance : ConnectionAllowance
+        Connections lent to this daemon.
+    clock : Clock
+        Source of time.
+    make_pool : callable
+        Makes the pool of a database, which counts its waiting requests with
+        the given limits.
+    """
+
+    def __init__(
+        self,
+        settings: BackendSettings,
+        allowance: ConnectionAllowance,
+        clock: Clock,
+        make_pool: Callable[[BackendServer, QueueLimits], PoolT],
+    ) -> None:
+        self._settings = settings
+        self._allowance = allowance
+        self._make_pool = make_pool
+        self._pools: dict[DatabaseId, PoolT] = {}
+        self._leaving: list[PoolT] = []
+        self._limits = QueueLimits(
+            settings.max_waiting, settings.max_waiting_per_account
+        )
+        self._view: View | None = None
+        self._terms = TermHistory(clock)
+
+    @property
+    def settings(self) -> BackendSettings:
+        """Settings of the pools."""
+        return self._settings
+
+    @property
+    def terms(self) -> TermHistory:
+        """Terms of the groups, as long as ``run`` runs."""
+        return self._terms
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait in all queues."""
+        return self._limits.waiting
+
+    @property
+    def new_connection_waits(self) -> int:
+        """Requests that waited until a new connection was open."""
+        return self._limits.new_connection_waits
+
+    @property
+    def is_warm(self) -> bool:
+        """Whether every pool has an open connection that it may have."""
+        return all(
+            pool.idle_connections or pool.busy_connections
+            for database, pool in self._pools.items()
+            if self._allowance.allowed_connections(database)
+        )
+
+    def pool(self, database: DatabaseId) -> PoolT | None:
+        """Return the pool of a database that is announced."""
+        return self._pools.get(database)
+
+    def open_connections(self) -> dict[DatabaseId, int]:
+        """Return the connections now open or being opened."""
+        counts: dict[DatabaseId, int] = {}
+        for pool in (*self._pools.values(), *self._leaving):
+            count = counts.get(pool.database, 0)
+            counts[pool.database] = count + pool.open_connections
+        return counts
+
+    def wanted_connections(self) -> dict[DatabaseId, int]:
+        """Return the connections that would all be busy now."""
+        return {
+            database: pool.wanted_connections
+            for database, pool in self._pools.items()
+        }
+
+    async def run(self, views: ViewSource) -> None:
+        """Follow the view until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._terms.run, views)
+            tasks.start_soon(AllowanceWatcher(self._pools).run)
+            while True:
+                view = views.view
+                self._follow(view, tasks)
+                await views.wait_for_change(view.version)
+
+    def _follow(self, view: View, tasks: anyio.abc.TaskGroup) -> None:
+        for database, pool in list(self._pools.items()):
+            backend = view.databases.get(database)
+            if (
+                backend is None
+                or Address.parse(backend.address) != pool.remote
+                or _has_left(view, backend)
+            ):
+                self._retire(database)
+        for backend in view.backends:
+            if backend.database not in self._pools and not _has_left(
+                view, backend
+            ):
+                self._add(backend, tasks)
+        for group in _changed_groups(self._view, view):
+            self._reroute(group, view)
+        self._view = view
+
+    def _add(self, backend: BackendServer, tasks: anyio.abc.TaskGroup) -> None:
+        pool = self._make_pool(backend, self._limits)
+        self._pools[backend.database] = pool
+        tasks.start_soon(self._run_pool, pool)
+
+    def _retire(self, database: DatabaseId) -> None:
+        pool = self._pools.pop(database)
+        self._leaving.append(pool)
+        pool.close()
+
+    async def _run_pool(self, pool: PoolT) -> None:
+        await pool.run()
+        if pool in self._leaving:
+            self._leaving.remove(pool)
+
+    def _reroute(self, group: ServiceId, view: View) -> None:
+        for backend in view.backends:
+            pool = self._pools.get(backend.database)
+            if backend.group == group and pool is not None:
+                pool.reroute_waiters()
+
+
+def _has_left(view: View, backend: BackendServer) -> bool:
+    """Tell whether a database only finishes what it runs.
+
+    Idle connections would keep a server that is leaving from its end. A
+    primary is needed until it has been changed.
+    """
+    group = view.group_states.get(backend.group)
+    is_primary = group is not None and group.primary == backend.database
+    return backend.leaving and not is_primary
+
+
+def _changed_groups(old: View | None, new: View) -> list[ServiceId]:
+    if old is None:
+        return []
+    return [
+        state.group
+        for state in new.groups
+        if old.group_states.get(state.group) != state
+        or state.phase is GroupPhase.CHANGING
+    ]
--- a/libs/catalogue/siskinsail_catalogue/__init__.py
+++ b/libs/catalogue/siskinsail_catalogue/__init__.py
@@ -10,6 +10,9 @@
 from ._change import InvalidCatalogueError as InvalidCatalogueError
 from ._change import MAX_REPORTED_MISTAKES as MAX_REPORTED_MISTAKES
 from ._change import Mistake as Mistake
+from ._configuration import Configuration as Configuration
+from ._configuration import decode_configuration as decode_configuration
+from ._configuration import encode_configuration as encode_configuration
 from ._entry import AccountEntry as AccountEntry
 from ._entry import BackendServerEntry as BackendServerEntry
 from ._entry import DataCentreEntry as DataCentreEntry
@@ -20,6 +23,7 @@
 from ._entry import KeyEntry as KeyEntry
 from ._entry import RouteEntry as RouteEntry
 from ._entry import ServiceEntry as ServiceEntry
+from ._entry import SessionPolicy as SessionPolicy
 from ._key_digest import key_digest as key_digest
 from ._state import CatalogueState as CatalogueState
 from ._state import MAX_ANSWERS as MAX_ANSWERS
--- a/libs/catalogue/siskinsail_catalogue/_entry.py
+++ b/libs/catalogue/siskinsail_catalogue/_entry.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from siskinsail_types import AccountId
+from siskinsail_types import Consistency
 from siskinsail_types import DatabaseId
 from siskinsail_types import DataCentreId
 from siskinsail_types import EntryKind
@@ -48,11 +49,44 @@
         Statements that one database runs at a time.
     connections : int
         Connections of the whole fleet to all databases of the service.
+    connections_per_database : int or None
+        Connections of the whole fleet to one database; None for an equal
+        share of ``connections``.
+    confirming_replicas : int
+        Replicas that must have received a commit before the databases of
+        the service acknowledge it.
     """
 
     name: ServiceId
     slots: int
     connections: int
+    connections_per_database: int | None = None
+    confirming_replicas: int = 0
+
+
+class SessionPolicy(msgspec.Struct, frozen=True):
+    """How the statements of callers' sessions run on a route.
+
+    Parameters
+    ----------
+    consistency : Consistency
+        Which commits a read must see.
+    statement_timeout_s : float
+        Time limit of one statement, in seconds.
+    latency_objective_s : float
+        Time within which an operation should be answered, in seconds.
+    transaction_idle_s : float
+        Time without a statement after which a transaction may be rolled
+        back, in seconds.
+    priority : int
+        Order in which requests are given up under load; 0 comes last.
+    """
+
+    consistency: Consistency
+    statement_timeout_s: float
+    latency_objective_s: float
+    transaction_idle_s: float
+    priority: int = 0
 
 
 class RouteEntry(EntryHead, frozen=True, tag_field='kind', tag='route'):
@@ -65,6 +99,9 @@
         for the latest data.
     repeatable : bool
         Whether a write may be run again without harm.
+    session_policy : SessionPolicy or None
+        How sessions run statement by statement; None where the route takes
+        whole requests only.
     """
 
     name: RouteId
@@ -73,6 +110,7 @@
     access: RouteAccess = RouteAccess.KEY
     max_age_s: float | None = None
     repeatable: bool = False
+    session_policy: SessionPolicy | None = None
 
 
 class AccountEntry(EntryHead, frozen=True, tag_field='kind', tag='account'):
--- a/libs/catalogue/siskinsail_catalogue/_state.py
+++ b/libs/catalogue/siskinsail_catalogue/_state.py
@@ -5,7 +5,11 @@
 import msgspec
 
 from siskinsail_types import CatalogueVersion
+from siskinsail_types import ConfigurationVersion
+from siskinsail_types import DataCentreId
+from siskinsail_types import EntryKind
 from siskinsail_types import EntryVersion
+from siskinsail_types import Placement
 
 from ._change import CatalogueChange
 from ._change import ChangeAnswer
@@ -14,7 +18,10 @@
 from ._change import HistoryRecord
 from ._change import MAX_REPORTED_MISTAKES
 from ._change import Mistake
+from ._configuration import Configuration
+from ._entry import DataCentreEntry
 from ._entry import Entry
+from ._entry import entry_kind
 from ._validation import entry_key
 from ._validation import entry_mistakes
 from ._validation import EntryKey
@@ -25,6 +32,9 @@
 MAX_ANSWERS = 10_000
 MAX_HISTORY = 1_000
 MAX_DELETED = 10_000
+# A configuration says nothing of these.
+_PLACED_KINDS = frozenset((EntryKind.DATA_CENTRE, EntryKind.BACKEND_SERVER))
+_PLACEMENT_OWNER = 'operator'
 
 
 class _Snapshot(msgspec.Struct):
@@ -33,6 +43,8 @@
     answers: list[tuple[str, ChangeAnswer]]
     history: list[HistoryRecord]
     deleted: list[EntryReference]
+    configuration_version: ConfigurationVersion = ConfigurationVersion(0)
+    document: bytes = b''
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -54,6 +66,18 @@
         # A name that is used again goes on from its last version: an
         # operator who knows only the deleted entry gets a conflict.
         self._deleted: dict[EntryKey, EntryVersion] = {}
+        self._configuration_version = ConfigurationVersion(0)
+        self._document = b''
+
+    @property
+    def configuration_version(self) -> ConfigurationVersion:
+        """Version of the configuration in force, 0 before the first."""
+        return self._configuration_version
+
+    @property
+    def document(self) -> bytes:
+        """The configuration in force as its operator wrote it."""
+        return self._document
 
     @property
     def version(self) -> CatalogueVersion:
@@ -92,6 +116,57 @@
             del self._answers[next(iter(self._answers))]
         return answer
 
+    def replace(
+        self, configuration: Configuration, wall_s: float
+    ) -> ChangeAnswer:
+        """Put a whole configuration in force, unless it is not newer.
+
+        A configuration that is not newer than the one in force is accepted
+        and changes nothing: its operator asked for a state that has been
+        replaced since. One with mistakes is refused, whatever its version.
+        """
+        wanted = {entry_key(entry): entry for entry in configuration.entries}
+        kept = {
+            key: entry
+            for key, entry in self._entries.items()
+            if entry_kind(entry) in _PLACED_KINDS
+        }
+        mistakes = _configuration_mistakes(configuration, wanted, kept)
+        if mistakes:
+            return self._refuse(ChangeError.INVALID, mistakes)
+        if configuration.version <= self._configuration_version:
+            return ChangeAnswer(self._version)
+        self._configuration_version = configuration.version
+        self._document = configuration.document
+        change = self._difference(
+            wanted, f'configuration-{configuration.version}', wall_s
+        )
+        if change.puts or change.deletes:
+            self._commit(change, change.puts, self._merge(change, change.puts))
+        return ChangeAnswer(self._version)
+
+    def place(
+        self, name: DataCentreId, placement: Placement, wall_s: float
+    ) -> ChangeAnswer:
+        """Take a data centre out, or in again; a repeat changes nothing."""
+        key = (EntryKind.DATA_CENTRE, name)
+        current = self._entries.get(key)
+        wanted = DataCentreEntry(
+            name=name, placement=placement, owner=_PLACEMENT_OWNER
+        )
+        mistakes = entry_mistakes(wanted)
+        if mistakes:
+            return self._refuse(ChangeError.INVALID, mistakes)
+        if isinstance(current, DataCentreEntry):
+            wanted = msgspec.structs.replace(current, placement=placement)
+        if wanted != current:
+            puts = (self._next_version(wanted),)
+            change = CatalogueChange(
+                f'{placement.value}-{name}', _PLACEMENT_OWNER, wall_s, puts
+            )
+            self._commit(change, puts, self._merge(change, puts))
+        return ChangeAnswer(self._version)
+
     def snapshot(self) -> bytes:
         """Return the whole state."""
         return _encoder.encode(
@@ -104,6 +179,8 @@
                     EntryReference(kind, name, version)
                     for (kind, name), version in self._deleted.items()
                 ],
+                self._configuration_version,
+                self._document,
             )
         )
 
@@ -124,6 +201,8 @@
             (reference.kind, reference.name): reference.version
             for reference in loaded.deleted
         }
+        self._configuration_version = loaded.configuration_version
+        self._document = loaded.document
 
     def _decide(self, change: CatalogueChange) -> ChangeAnswer:
         conflicts = self._conflicts(change)
@@ -143,6 +222,26 @@
             ),
         )
 
+    def _difference(
+        self, wanted: dict[EntryKey, Entry], name: str, wall_s: float
+    ) -> CatalogueChange:
+        """Return what a configuration changes; the rest stays as it is."""
+        puts = []
+        for key, entry in wanted.items():
+            current = self._entries.get(key)
+            version = EntryVersion(0) if current is None else current.version
+            entry = msgspec.structs.replace(entry, version=version)
+            if entry != current:
+                puts.append(self._next_version(entry))
+        deletes = tuple(
+            EntryReference(*key, entry.version)
+            for key, entry in self._entries.items()
+            if key not in wanted and entry_kind(entry) not in _PLACED_KINDS
+        )
+        return CatalogueChange(
+            name, _PLACEMENT_OWNER, wall_s, tuple(puts), deletes
+        )
+
     def _conflicts(self, change: CatalogueChange) -> list[Mistake]:
         expected = [
             EntryReference(*entry_key(entry), entry.version)
@@ -230,6 +329,28 @@
     return mistakes
 
 
+def _configuration_mistakes(
+    configuration: Configuration,
+    wanted: dict[EntryKey, Entry],
+    kept: dict[EntryKey, Entry],
+) -> list[Mistake]:
+    mistakes = []
+    if configuration.version < 1:
+        mistakes.append(Mistake('', '', 'version', 'the version is below 1'))
+    if len(wanted) != len(configuration.entries):
+        mistakes.append(Mistake('', '', '', 'an entry is declared twice'))
+    for entry in configuration.entries:
+        if entry_kind(entry) in _PLACED_KINDS:
+            kind = entry_kind(entry).value
+            mistakes.append(Mistake(kind, entry.name, '', 'not declared here'))
+        mistakes += entry_mistakes(entry)
+    mistakes += reference_mistakes({**kept, **wanted})
+    if len(wanted) + len(kept) > MAX_ENTRIES:
+        message = f'more than {MAX_ENTRIES} entries'
+        mistakes.append(Mistake('', '', '', message))
+    return mistakes
+
+
 def _request_mistakes(change: CatalogueChange) -> list[Mistake]:
     mistakes = []
     for field in ('request_id', 'operator'):
--- a/libs/catalogue/siskinsail_catalogue/_validation.py
+++ b/libs/catalogue/siskinsail_catalogue/_validation.py
@@ -6,6 +6,7 @@
 import math
 import re
 
+from siskinsail_types import Consistency
 from siskinsail_types import EntryKind
 
 from ._change import Mistake
@@ -15,6 +16,7 @@
 from ._entry import KeyEntry
 from ._entry import RouteEntry
 from ._entry import ServiceEntry
+from ._entry import SessionPolicy
 
 MAX_ENTRIES = 10_000
 MAX_TEXT_LENGTH = 128
@@ -23,6 +25,8 @@
 MAX_RATE = 1e9
 MAX_WEIGHT = 1_000
 MAX_AGE_S = 7 * 24 * 3600.0
+MAX_TIME_S = 3600.0
+MAX_PRIORITY = 100
 
 EntryKey = tuple[EntryKind, str]
 
@@ -98,14 +102,47 @@
     return [
         *_in_range('slots', entry.slots, 1, MAX_SLOTS),
         *_in_range('connections', entry.connections, 1, MAX_CONNECTIONS),
+        *_in_range(
+            'connections_per_database',
+            entry.connections_per_database or 1,
+            1,
+            MAX_CONNECTIONS,
+        ),
+        *_in_range('confirming_replicas', entry.confirming_replicas, 0, 1),
     ]
 
 
 @_particular.register
 def _(entry: RouteEntry) -> list[_Finding]:
-    if entry.max_age_s is None:
-        return []
-    return _in_range('max_age_s', entry.max_age_s, 0, MAX_AGE_S)
+    findings = []
+    if entry.max_age_s is not None:
+        findings += _in_range('max_age_s', entry.max_age_s, 0, MAX_AGE_S)
+    policy = entry.session_policy
+    if policy is not None:
+        findings += _session_policy(policy)
+        if (
+            policy.consistency is not Consistency.LATEST
+            and entry.max_age_s is None
+        ):
+            findings.append(('max_age_s', 'the consistency needs an age'))
+    return findings
+
+
+def _session_policy(policy: SessionPolicy) -> list[_Finding]:
+    fields = (
+        'statement_timeout_s',
+        'latency_objective_s',
+        'transaction_idle_s',
+    )
+    findings = [
+        (name, f'{name} is not above 0 and at most {MAX_TIME_S:g}')
+        for name in fields
+        if not 0 < getattr(policy, name) <= MAX_TIME_S
+    ]
+    return [
+        *findings,
+        *_in_range('priority', policy.priority, 0, MAX_PRIORITY),
+    ]
 
 
 @_particular.register
--- a/libs/catalogue/siskinsail_catalogue/_view.py
+++ b/libs/catalogue/siskinsail_catalogue/_view.py
@@ -37,11 +37,17 @@
     address, admin_address : str
         ``host:port`` of the data port and of the administration port.
     term, log_term, index
-        Term followed, and term and index of the last log entry.
+        Term followed, and term and index of the last log entry. A term of 0
+        means that the database does not state it in announcements.
     slots, connections : int
         What the database says it can take.
     leaving : bool
         Whether it takes no new work.
+    incarnation : int
+        Grows with each start of the process; 0 where it is not stated.
+    sequence : int
+        Counts the announcements of an incarnation; 0 where it is not
+        stated.
     """
 
     group: ServiceId
@@ -56,6 +62,13 @@
     slots: int
     connections: int
     leaving: bool = False
+    incarnation: int = 0
+    sequence: int = 0
+
+    @property
+    def is_term_stated(self) -> bool:
+        """Whether announcements tell the term."""
+        return self.term > 0
 
 
 class GroupState(msgspec.Struct, frozen=True):
--- a/libs/control/siskinsail_control/__init__.py
+++ b/libs/control/siskinsail_control/__init__.py
@@ -1,5 +1,8 @@
 """Control role and the daemon side of it."""
 
+from ._admin_port import DatabaseAdmin as DatabaseAdmin
+from ._admin_port import FencedDatabase as FencedDatabase
+from ._admin_port import ProbeResult as ProbeResult
 from ._agent import ControlAgent as ControlAgent
 from ._agent import DaemonIdentity as DaemonIdentity
 from ._commands import AddTokenSecret as AddTokenSecret
@@ -10,18 +13,25 @@
 from ._commands import encode_command as encode_command
 from ._commands import FinishPrimaryChange as FinishPrimaryChange
 from ._commands import LeaderStarted as LeaderStarted
+from ._commands import PlaceDataCentre as PlaceDataCentre
 from ._commands import RegisterDaemon as RegisterDaemon
 from ._commands import RegisterGroup as RegisterGroup
+from ._commands import ReplaceConfiguration as ReplaceConfiguration
 from ._commands import StartPrimaryChange as StartPrimaryChange
 from ._commands import SuspendDaemon as SuspendDaemon
 from ._connection_lender import ConnectionLender as ConnectionLender
 from ._connection_lender import shares_by_demand as shares_by_demand
 from ._daemon_table import DaemonTable as DaemonTable
+from ._leader_link import LeaderLink as LeaderLink
 from ._loan_ports import TokenBorrower as TokenBorrower
 from ._loan_ports import TokenLender as TokenLender
 from ._membership import Membership as Membership
+from ._messages import Announcement as Announcement
+from ._messages import Departure as Departure
 from ._messages import OperatorAnswer as OperatorAnswer
 from ._messages import OperatorRequest as OperatorRequest
+from ._messages import PlacementRequest as PlacementRequest
+from ._messages import ReportRequest as ReportRequest
 from ._metrics import ControlMetrics as ControlMetrics
 from ._operator_api import OperatorApi as OperatorApi
 from ._operator_api import OperatorSettings as OperatorSettings
--- a/libs/control/siskinsail_control/_admin_client.py
+++ b/libs/control/siskinsail_control/_admin_client.py
@@ -1,7 +1,5 @@
 """Calls to the administration ports of databases."""
 
-from enum import Enum
-from enum import unique
 from typing import Any
 
 import msgspec
@@ -11,40 +9,14 @@
 from siskinsail_net import Network
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
-from siskinsail_types import DatabaseId
 from siskinsail_types import DatabaseRole
 from siskinsail_types import LogIndex
 from siskinsail_types import ProtocolError
 from siskinsail_types import Term
 from siskinsail_types import TransportError
 
-
-@unique
-class ProbeResult(Enum):
-    """What a probe of a primary found."""
-
-    ALIVE = 'alive'
-    NOT_PRIMARY = 'not_primary'
-    REFUSED = 'refused'
-    SILENT = 'silent'
-
-
-class FencedDatabase(msgspec.Struct, frozen=True):
-    """A database that adopted a term, and where its log ends."""
-
-    server: BackendServer
-    log_term: Term
-    index: LogIndex
-
-    @property
-    def position(self) -> tuple[int, int]:
-        """Order in which databases are promoted."""
-        return self.log_term, self.index
-
-    @property
-    def database(self) -> DatabaseId:
-        """Name of the database."""
-        return self.server.database
+from ._admin_port import FencedDatabase
+from ._admin_port import ProbeResult
 
 
 class _Fenced(msgspec.Struct):
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -25,12 +25,13 @@
 from siskinsail_types import ProtocolError
 from siskinsail_types import Secret
 from siskinsail_types import SiskinsailError
-from siskinsail_types import TransportError
 from siskinsail_types import ViewVersion
 from siskinsail_types import VmId
 
 from ._allowances import Allowances
 from ._leader_finder import LeaderFinder
+from ._leader_link import forward_request
+from ._leader_link import RETRY_DELAY_S
 from ._loan_ports import TokenBorrower
 from ._messages import Balance
 from ._messages import BORROW_METHOD
@@ -38,7 +39,6 @@
 from ._messages import BorrowRequest
 from ._messages import decode_message
 from ._messages import encode_message
-from ._messages import OPERATOR_METHOD
 from ._messages import OperatorAnswer
 from ._messages import OperatorRequest
 from ._messages import REPORT_METHOD
@@ -53,7 +53,6 @@
 from ._view_log import decode_delta
 from ._view_log import EMPTY_VIEW
 
-RETRY_DELAY_S = 0.05
 REPORT_INTERVAL_S = 0.05
 LEAVE_TIMEOUT_S = 1.0
 
@@ -219,38 +218,10 @@
     async def forward(
         self, request: OperatorRequest, timeout_s: float
     ) -> OperatorAnswer | SiskinsailError:
-        """Pass an operator request on to the leader.
-
-        A request whose answer was lost is sent again: reads are harmless,
-        and a change carries a request id.
-
-        Returns
-        -------
-        OperatorAnswer or SiskinsailError
-            ``TransportError`` if the request may have been carried out,
-            ``ProtocolError`` if no leader took it.
-        """
-        payload = encode_message(request)
-        end_s = self._clock.now_s() + timeout_s
-        error: SiskinsailError = ProtocolError('no control leader')
-        while (remaining_s := end_s - self._clock.now_s()) > 0:
-            client = self._finder.client
-            if client.is_connected:
-                try:
-                    answer = decode_message(
-                        OperatorAnswer,
-                        await client.call(
-                            OPERATOR_METHOD, payload, remaining_s
-                        ),
-                    )
-                except SiskinsailError as lost:
-                    error = TransportError(str(lost))
-                else:
-                    if answer.status is Status.OK:
-                        return answer
-                    self._finder.note_refusal(client, answer.leader)
-            await anyio.sleep(RETRY_DELAY_S)
-        return error
+        """Pass an operator request on; see ``forward_request``."""
+        return await forward_request(
+            self._finder, self._clock, request, timeout_s
+        )
 
     async def _sync(self) -> bool:
         """Make one sync call; return whether to call again at once."""
--- a/libs/control/siskinsail_control/_commands.py
+++ b/libs/control/siskinsail_control/_commands.py
@@ -4,7 +4,9 @@
 
 from siskinsail_catalogue import CatalogueChange
 from siskinsail_types import DatabaseId
+from siskinsail_types import DataCentreId
 from siskinsail_types import LogIndex
+from siskinsail_types import Placement
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
 from siskinsail_types import VmId
@@ -20,11 +22,33 @@
     change: CatalogueChange
 
 
+class ReplaceConfiguration(msgspec.Struct, frozen=True, tag=True):
+    """Put a whole configuration in force, in its stored form."""
+
+    content: bytes
+    wall_s: float
+
+
+class PlaceDataCentre(msgspec.Struct, frozen=True, tag=True):
+    """Take a data centre out, or in again."""
+
+    name: DataCentreId
+    placement: Placement
+    wall_s: float
+
+
 class RegisterGroup(msgspec.Struct, frozen=True, tag=True):
-    """Start to manage a database group whose databases know ``term``."""
+    """Start to manage a database group whose databases know ``term``.
+
+    Parameters
+    ----------
+    primary : DatabaseId or None
+        The database that leads already, None where that is not known.
+    """
 
     group: ServiceId
     term: Term
+    primary: DatabaseId | None = None
 
 
 class StartPrimaryChange(msgspec.Struct, frozen=True, tag=True):
@@ -73,6 +97,8 @@
 Command = (
     LeaderStarted
     | ApplyCatalogue
+    | ReplaceConfiguration
+    | PlaceDataCentre
     | RegisterGroup
     | StartPrimaryChange
     | FinishPrimaryChange
--- a/libs/control/siskinsail_control/_leader_context.py
+++ b/libs/control/siskinsail_control/_leader_context.py
@@ -9,6 +9,7 @@
 from siskinsail_types import Clock
 from siskinsail_types import VmId
 
+from ._admin_port import DatabaseAdmin
 from ._commands import Command
 from ._commands import encode_command
 from ._daemon_table import DaemonTable
@@ -37,6 +38,8 @@
         Where to count.
     first_index : int
         Index of the first entry of this leader in the log, or above.
+    admin : DatabaseAdmin
+        Orders to databases.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         clock: Clock,
         metrics: ControlMetrics,
         first_index: int,
+        admin: DatabaseAdmin,
     ) -> None:
         self.settings = settings
         self.vm = vm
@@ -57,6 +61,7 @@
         self.network = network
         self.clock = clock
         self.metrics = metrics
+        self.admin = admin
         self.term = replica.term
         self.view_log = ViewLog(first_index)
         self.table = DaemonTable(settings, clock, state.active_daemons)
--- /dev/null
+++ b/libs/control/siskinsail_control/_leader_link.py
@@ -0,0 +1,144 @@
+"""Calls to the control leader that need no daemon lease."""
+
+from collections.abc import Mapping
+import math
+
+import anyio
+
+from siskinsail_net import Network
+from siskinsail_types import Address
+from siskinsail_types import Clock
+from siskinsail_types import ProtocolError
+from siskinsail_types import Secret
+from siskinsail_types import SiskinsailError
+from siskinsail_types import TransportError
+from siskinsail_types import VmId
+
+from ._leader_finder import LeaderFinder
+from ._messages import decode_message
+from ._messages import encode_message
+from ._messages import OPERATOR_METHOD
+from ._messages import OperatorAnswer
+from ._messages import OperatorRequest
+from ._messages import REPORT_METHOD
+from ._messages import ReportAnswer
+from ._messages import ReportRequest
+from ._messages import Status
+
+RETRY_DELAY_S = 0.05
+
+
+async def forward_request(
+    finder: LeaderFinder,
+    clock: Clock,
+    request: OperatorRequest,
+    timeout_s: float,
+    attempt_s: float = math.inf,
+) -> OperatorAnswer | SiskinsailError:
+    """Pass an operator request on to the leader.
+
+    A request whose answer was lost is sent again: reads are harmless, and a
+    change carries a request id or a version.
+
+    Parameters
+    ----------
+    timeout_s, attempt_s : float
+        Time limits of all attempts and of one, in seconds.
+
+    Returns
+    -------
+    OperatorAnswer or SiskinsailError
+        ``TransportError`` if the request may have been carried out,
+        ``ProtocolError`` if no leader took it.
+    """
+    payload = encode_message(request)
+    end_s = clock.now_s() + timeout_s
+    error: SiskinsailError = ProtocolError('no control leader')
+    while (remaining_s := end_s - clock.now_s()) > 0:
+        finder.prefer_connected()
+        client = finder.client
+        if client.is_connected:
+            try:
+                answer = decode_message(
+                    OperatorAnswer,
+                    await client.call(
+                        OPERATOR_METHOD, payload, min(remaining_s, attempt_s)
+                    ),
+                )
+            except SiskinsailError as lost:
+                error = TransportError(str(lost))
+                finder.note_failure(client)
+            else:
+                if answer.status is Status.OK:
+                    finder.note_leader(client)
+                    return answer
+                finder.note_refusal(client, answer.leader)
+        await anyio.sleep(RETRY_DELAY_S)
+    return error
+
+
+class LeaderLink:
+    """What a control member passes on for operators and databases.
+
+    Parameters
+    ----------
+    members : mapping
+        Peer addresses of the control members.
+    network, secret, clock
+        Seams and the fleet secret.
+    vm : VmId
+        Name of this process.
+    attempt_s : float
+        Time limit of one call, in seconds.
+    """
+
+    def __init__(
+        self,
+        members: Mapping[VmId, Address],
+        network: Network,
+        secret: Secret,
+        vm: VmId,
+        clock: Clock,
+        attempt_s: float,
+    ) -> None:
+        self._finder = LeaderFinder(members, network, secret, vm)
+        self._clock = clock
+        self._attempt_s = attempt_s
+
+    async def run(self) -> None:
+        """Keep connections to the control members up until cancelled."""
+        await self._finder.run()
+
+    async def forward(
+        self, request: OperatorRequest, timeout_s: float
+    ) -> OperatorAnswer | SiskinsailError:
+        """Pass an operator request on; see ``forward_request``."""
+        return await forward_request(
+            self._finder, self._clock, request, timeout_s, self._attempt_s
+        )
+
+    async def report(self, request: ReportRequest, timeout_s: float) -> bool:
+        """Pass news of databases on; tell whether the leader took them."""
+        payload = encode_message(request)
+        end_s = self._clock.now_s() + timeout_s
+        while (remaining_s := end_s - self._clock.now_s()) > 0:
+            self._finder.prefer_connected()
+            client = self._finder.client
+            try:
+                answer = decode_message(
+                    ReportAnswer,
+                    await client.call(
+                        REPORT_METHOD,
+                        payload,
+                        min(remaining_s, self._attempt_s),
+                    ),
+                )
+            except SiskinsailError:
+                self._finder.note_failure(client)
+            else:
+                if answer.status is Status.OK:
+                    self._finder.note_leader(client)
+                    return True
+                self._finder.note_refusal(client, answer.leader)
+            await anyio.sleep(RETRY_DELAY_S)
+        return False
--- a/libs/control/siskinsail_control/_leader_operator.py
+++ b/libs/control/siskinsail_control/_leader_operator.py
@@ -14,16 +14,21 @@
 from siskinsail_catalogue import ChangeAnswer
 from siskinsail_catalogue import ChangeError
 from siskinsail_catalogue import decode_change_request
+from siskinsail_catalogue import decode_configuration
 from siskinsail_catalogue import entry_to_dict
 from siskinsail_catalogue import Mistake
 from siskinsail_telemetry import log_event
 from siskinsail_types import KeyState
+from siskinsail_types import ProtocolError
 from siskinsail_types import SiskinsailError
 
 from ._commands import ApplyCatalogue
+from ._commands import PlaceDataCentre
+from ._commands import ReplaceConfiguration
 from ._leadership import Leadership
 from ._messages import OperatorAnswer
 from ._messages import OperatorRequest
+from ._messages import PlacementRequest
 from ._messages import Status
 from ._replica_port import is_certainly_not_applied
 from ._state import decode_answer
@@ -56,6 +61,9 @@
             ('GET', '/v1/catalogue'): self._get_catalogue,
             ('GET', '/v1/catalogue/history'): self._get_history,
             ('POST', '/v1/catalogue/apply'): self._apply,
+            ('GET', '/v1/configuration'): self._get_configuration,
+            ('PUT', '/v1/configuration'): self._replace,
+            ('PUT', '/v1/data-centres'): self._place,
         }
 
     async def handle(self, request: OperatorRequest) -> OperatorAnswer:
@@ -113,6 +121,63 @@
             },
         )
 
+    async def _replace(self, request: OperatorRequest) -> OperatorAnswer:
+        """Put a whole configuration in force."""
+        try:
+            configuration = decode_configuration(request.body)
+        except ProtocolError as error:
+            return _invalid(str(error), (Mistake('', '', '', str(error)),))
+        command = ReplaceConfiguration(
+            request.body, self._context.clock.wall_s()
+        )
+        return await self._change(
+            command, f'configuration-{configuration.version}'
+        )
+
+    async def _place(self, request: OperatorRequest) -> OperatorAnswer:
+        """Take a data centre out, or in again."""
+        try:
+            wanted = msgspec.json.decode(request.body, type=PlacementRequest)
+        except msgspec.DecodeError as error:
+            return _invalid(str(error), (Mistake('', '', '', str(error)),))
+        command = PlaceDataCentre(
+            wanted.data_centre, wanted.placement, self._context.clock.wall_s()
+        )
+        return await self._change(
+            command, f'{wanted.placement.value}-{wanted.data_centre}'
+        )
+
+    async def _change(
+        self, command: ReplaceConfiguration | PlaceDataCentre, name: str
+    ) -> OperatorAnswer:
+        applied = await self._context.propose(command)
+        if not isinstance(applied, Success):
+            return _not_proposed(applied.failure())
+        answer = decode_answer(applied.unwrap().output)
+        if answer.error is not None:
+            log_event(
+                'control_change_refused', change=name, reason=answer.message
+            )
+            return _refused(answer.error, answer)
+        log_event(
+            'control_change',
+            change=name,
+            catalogue_version=answer.catalogue_version,
+            view_version=self._context.view_log.version,
+        )
+        return _json(200, {'catalogue_version': answer.catalogue_version})
+
+    async def _get_configuration(
+        self, request: OperatorRequest
+    ) -> OperatorAnswer:
+        """Return the document of the configuration in force as it came."""
+        catalogue = self._context.state.catalogue
+        if not catalogue.configuration_version:
+            return _failure(404, 'no_configuration', 'there is none yet')
+        return OperatorAnswer(
+            Status.OK, http_status=200, body=catalogue.document
+        )
+
     async def _get_catalogue(self, request: OperatorRequest) -> OperatorAnswer:
         catalogue = self._context.state.catalogue
         return _json(
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -157,6 +157,15 @@
     def report(self, request: ReportRequest) -> None:
         """Take news that did not wait for the next sync call."""
         self._take_news(request)
+        membership = self._context.membership
+        departed = [
+            one.database
+            for one in request.departed
+            if membership.depart(one.database)
+        ]
+        if departed:
+            log_event('control_databases_departed', databases=departed)
+            self._members_changed()
 
     async def _register(self, key: DaemonKey) -> bool:
         # A lease may be granted only to a daemon in the log, since a new
@@ -332,7 +341,9 @@
         for server in self._context.membership.heard:
             service = view.services.get(server.group)
             if service is not None:
-                share = service.connections // self._settings.group_size
+                share = service.connections_per_database or (
+                    service.connections // self._settings.group_size
+                )
                 # A database that is leaving keeps its total: daemons that
                 # finish work there still hold connections.
                 totals[server.database] = min(share, server.connections)
--- a/libs/control/siskinsail_control/_membership.py
+++ b/libs/control/siskinsail_control/_membership.py
@@ -46,6 +46,9 @@
         self._groups: dict[ServiceId, dict[DatabaseId, None]] = {}
         self._answered_s: dict[DatabaseId, float] = {}
         self._refused_s: dict[DatabaseId, float] = {}
+        # Last announcements of databases that have ended: late ones of the
+        # same incarnation must not bring them back.
+        self._departed: dict[DatabaseId, BackendServer] = {}
 
     @property
     def servers(self) -> tuple[BackendServer, ...]:
@@ -80,9 +83,15 @@
         heard_s = self._clock.now_s() - max(age_s, 0.0)
         if heard_s <= self._clock.now_s() - self._settings.announcement_s:
             return False
+        if self._is_outdated(server):
+            return False
+        self._drop_predecessor(server)
         record = self._records.get(server.database)
         if record is None:
             return self._add(server, heard_s)
+        if server.incarnation > record.latest.incarnation:
+            self._add(server, heard_s)
+            return True
         if _place(record.latest) != _place(server):
             record.other = server
             record.other_s = heard_s
@@ -98,6 +107,16 @@
         record.published = server
         return True
 
+    def depart(self, database: DatabaseId) -> bool:
+        """Drop a database that has ended; return whether it was known."""
+        record = self._records.pop(database, None)
+        if record is None:
+            return False
+        self._departed[database] = record.latest
+        if len(self._departed) > MAX_KNOWN:
+            del self._departed[next(iter(self._departed))]
+        return True
+
     def expire(self) -> bool:
         """Drop silent databases; return whether the members changed."""
         limit_s = self._clock.now_s() - self._settings.announcement_s
@@ -155,11 +174,7 @@
         """
         answered_s = self._answered_s.get(database, 0.0)
         record = self._records.get(database)
-        if (
-            record is not None
-            and record.latest.role is DatabaseRole.PRIMARY
-            and record.latest.term == term
-        ):
+        if record is not None and _leads(record.latest, term):
             return max(answered_s, record.heard_s)
         return answered_s
 
@@ -172,13 +187,46 @@
             0 if its last announcement does not say so.
         """
         record = self._records.get(database)
-        if record is None or record.latest.term < term:
+        if record is None or (
+            record.latest.is_term_stated and record.latest.term < term
+        ):
             return 0.0
-        leads = (
-            record.latest.role is DatabaseRole.PRIMARY
-            and record.latest.term == term
+        return 0.0 if _leads(record.latest, term) else record.heard_s
+
+    def _is_outdated(self, server: BackendServer) -> bool:
+        """Tell whether a later announcement was heard of the same process.
+
+        Announcements that a partition delayed may arrive after their sender
+        has ended, and after another database has taken its address.
+        """
+        record = self._records.get(server.database)
+        known = [self._departed.get(server.database)]
+        known.append(None if record is None else record.latest)
+        if any(
+            one is not None
+            and _order(server) <= _order(one)
+            and server.sequence
+            for one in known
+        ):
+            return True
+        return any(
+            other.latest.address == server.address
+            and other.latest.database != server.database
+            and other.latest.incarnation > server.incarnation
+            for other in self._records.values()
         )
-        return 0.0 if leads else record.heard_s
+
+    def _drop_predecessor(self, server: BackendServer) -> None:
+        """Drop a database whose address an announcement shows taken."""
+        gone = [
+            other.latest.database
+            for other in self._records.values()
+            if other.latest.address == server.address
+            and other.latest.database != server.database
+            and other.latest.incarnation < server.incarnation
+        ]
+        for database in gone:
+            self.depart(database)
 
     def _note(
         self,
@@ -213,7 +261,20 @@
     )
 
 
+def _order(server: BackendServer) -> tuple[int, int]:
+    return server.incarnation, server.sequence
+
+
+def _leads(server: BackendServer, term: Term) -> bool:
+    """Tell whether a database says that it is the primary of a term."""
+    return server.role is DatabaseRole.PRIMARY and (
+        not server.is_term_stated or server.term == term
+    )
+
+
 def _lasting(server: BackendServer) -> BackendServer:
     # Positions change with every write; they would change the view each
     # time, and daemons learn them from answers.
-    return msgspec.structs.replace(server, log_term=Term(0), index=0)
+    return msgspec.structs.replace(
+        server, log_term=Term(0), index=0, sequence=0
+    )
--- a/libs/control/siskinsail_control/_messages.py
+++ b/libs/control/siskinsail_control/_messages.py
@@ -18,6 +18,7 @@
 from siskinsail_types import DatabaseRole
 from siskinsail_types import DataCentreId
 from siskinsail_types import LogIndex
+from siskinsail_types import Placement
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
 
@@ -64,6 +65,8 @@
     connections: int
     leaving: bool
     age_s: float
+    incarnation: int = 0
+    sequence: int = 0
 
     @classmethod
     def of(cls, server: BackendServer, age_s: float) -> 'Announcement':
@@ -86,6 +89,12 @@
     answered: bool
 
 
+class Departure(_Message, frozen=True):
+    """A database has ended in a planned way."""
+
+    database: DatabaseId
+
+
 class Balance(_Message, frozen=True):
     """A ``LoanBalance`` that a daemon states when it registers."""
 
@@ -205,6 +214,14 @@
 
     announcements: tuple[Announcement, ...] = ()
     evidence: tuple[Evidence, ...] = ()
+    departed: tuple[Departure, ...] = ()
+
+
+class ReportAnswer(_Message, frozen=True):
+    """Whether the leader has taken the news."""
+
+    status: Status
+    leader: str = ''
 
 
 class OperatorRequest(_Message, frozen=True):
@@ -215,6 +232,13 @@
     body: bytes = b''
 
 
+class PlacementRequest(msgspec.Struct, frozen=True):
+    """JSON body of the operator request to place a data centre."""
+
+    data_centre: DataCentreId
+    placement: Placement
+
+
 class OperatorAnswer(_Message, frozen=True):
     """The leader's HTTP answer."""
 
@@ -234,6 +258,7 @@
         BorrowRequest,
         BorrowAnswer,
         ReportRequest,
+        ReportAnswer,
         OperatorRequest,
         OperatorAnswer,
     )
--- a/libs/control/siskinsail_control/_primary_change.py
+++ b/libs/control/siskinsail_control/_primary_change.py
@@ -13,9 +13,8 @@
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
 
-from ._admin_client import AdminClient
-from ._admin_client import FencedDatabase
-from ._admin_client import ProbeResult
+from ._admin_port import FencedDatabase
+from ._admin_port import ProbeResult
 from ._commands import FinishPrimaryChange
 from ._commands import RegisterGroup
 from ._commands import StartPrimaryChange
@@ -43,9 +42,7 @@
         self._settings = context.settings
         self._clock = context.clock
         self._membership = context.membership
-        self._admin = AdminClient(
-            context.network, context.settings.admin_timeout_s
-        )
+        self._admin = context.admin
         # No evidence is expected from before this leader watched.
         self._watched_since_s = context.clock.now_s()
         self._held_down_until_s = 0.0
@@ -82,7 +79,30 @@
         if len(servers) < self._settings.majority:
             return
         term = max(server.term for server in servers)
-        await self._context.propose(RegisterGroup(self._group, term))
+        primary = self._present_primary(servers)
+        await self._context.propose(RegisterGroup(self._group, term, primary))
+        log_event(
+            'control_group_registered',
+            group=self._group,
+            term=term,
+            primary=primary or '',
+        )
+
+    def _present_primary(
+        self, servers: tuple[BackendServer, ...]
+    ) -> DatabaseId | None:
+        """Return the primary of a group that is not led by this fleet yet.
+
+        Where databases state their terms, the first change of primary
+        establishes one that this fleet knows.
+        """
+        leading = [
+            server.database
+            for server in servers
+            if server.role is DatabaseRole.PRIMARY
+            and not server.is_term_stated
+        ]
+        return leading[0] if len(leading) == 1 else None
 
     async def _reason_for_change(self, state: GroupState) -> str:
         """Return why the primary must change, empty if it must not."""
--- a/libs/control/siskinsail_control/_service.py
+++ b/libs/control/siskinsail_control/_service.py
@@ -11,6 +11,8 @@
 from siskinsail_types import Clock
 from siskinsail_types import VmId
 
+from ._admin_client import AdminClient
+from ._admin_port import DatabaseAdmin
 from ._commands import AddTokenSecret
 from ._commands import encode_command
 from ._leader_context import LeaderContext
@@ -26,6 +28,7 @@
 from ._messages import OperatorAnswer
 from ._messages import OperatorRequest
 from ._messages import REPORT_METHOD
+from ._messages import ReportAnswer
 from ._messages import ReportRequest
 from ._messages import Status
 from ._messages import SYNC_METHOD
@@ -65,6 +68,8 @@
         Where calls are counted.
     new_secret : callable
         Makes the first secret for session tokens.
+    admin : DatabaseAdmin or None
+        Orders to databases; by default through their administration ports.
     """
 
     def __init__(
@@ -79,6 +84,7 @@
         make_lender: Callable[[], TokenLender],
         metrics: ControlMetrics,
         new_secret: Callable[[], bytes] = _new_secret,
+        admin: DatabaseAdmin | None = None,
     ) -> None:
         self._settings = settings
         self._vm = vm
@@ -89,6 +95,7 @@
         self._make_lender = make_lender
         self._metrics = metrics
         self._new_secret = new_secret
+        self._admin = admin or AdminClient(network, settings.admin_timeout_s)
         self._leadership: Leadership | None = None
         server.register(SYNC_METHOD, self._sync)
         server.register(BORROW_METHOD, self._borrow)
@@ -130,6 +137,7 @@
             self._clock,
             self._metrics,
             self._replica.applied_index,
+            self._admin,
         )
         log_event('control_leader', term=context.term)
         self._leadership = Leadership(context, self._make_lender())
@@ -165,10 +173,14 @@
         return self._count(BORROW_METHOD, encode_message(answer))
 
     async def _report(self, caller: VmId, payload: bytes) -> bytes:
+        request = decode_message(ReportRequest, payload)
         leadership = self.leadership
-        if leadership is not None:
-            leadership.report(decode_message(ReportRequest, payload))
-        return self._count(REPORT_METHOD, b'')
+        if leadership is None:
+            answer = ReportAnswer(Status.NOT_LEADER, self._leader_name)
+        else:
+            leadership.report(request)
+            answer = ReportAnswer(Status.OK, self._vm)
+        return self._count(REPORT_METHOD, encode_message(answer))
 
     async def _operator(self, caller: VmId, payload: bytes) -> bytes:
         request = decode_message(OperatorRequest, payload)
--- a/libs/control/siskinsail_control/_state.py
+++ b/libs/control/siskinsail_control/_state.py
@@ -7,6 +7,7 @@
 
 from siskinsail_catalogue import CatalogueState
 from siskinsail_catalogue import ChangeAnswer
+from siskinsail_catalogue import decode_configuration
 from siskinsail_catalogue import GroupState
 from siskinsail_types import GroupPhase
 from siskinsail_types import ServiceId
@@ -18,8 +19,10 @@
 from ._commands import DeregisterDaemon
 from ._commands import FinishPrimaryChange
 from ._commands import LeaderStarted
+from ._commands import PlaceDataCentre
 from ._commands import RegisterDaemon
 from ._commands import RegisterGroup
+from ._commands import ReplaceConfiguration
 from ._commands import StartPrimaryChange
 from ._commands import SuspendDaemon
 
@@ -35,7 +38,9 @@
     AddTokenSecret,
     ApplyCatalogue,
     FinishPrimaryChange,
+    PlaceDataCentre,
     RegisterGroup,
+    ReplaceConfiguration,
     StartPrimaryChange,
 )
 
@@ -54,15 +59,16 @@
 
 
 def decode_answer(output: bytes) -> ChangeAnswer:
-    """Read the output of an ``ApplyCatalogue`` command."""
+    """Read the output of a command that changes the catalogue."""
     return _answer_decoder.decode(output)
 
 
 class ControlState:
     """State machine of the replicated log.
 
-    The output of ``ApplyCatalogue`` is an encoded ``ChangeAnswer``, that of
-    any other command ``ACCEPTED`` or ``REJECTED``.
+    The output of ``ApplyCatalogue``, ``ReplaceConfiguration`` and
+    ``PlaceDataCentre`` is an encoded ``ChangeAnswer``, that of any other
+    command ``ACCEPTED`` or ``REJECTED``.
     """
 
     def __init__(self) -> None:
@@ -164,12 +170,27 @@
     def _(self, command: ApplyCatalogue) -> bytes:
         return _encoder.encode(self._catalogue.apply(command.change))
 
+    @_apply.register
+    def _(self, command: ReplaceConfiguration) -> bytes:
+        configuration = decode_configuration(command.content)
+        return _encoder.encode(
+            self._catalogue.replace(configuration, command.wall_s)
+        )
+
+    @_apply.register
+    def _(self, command: PlaceDataCentre) -> bytes:
+        return _encoder.encode(
+            self._catalogue.place(
+                command.name, command.placement, command.wall_s
+            )
+        )
+
     @_apply.register
     def _(self, command: RegisterGroup) -> bytes:
         if command.group in self._groups:
             return REJECTED
         self._groups[command.group] = GroupState(
-            command.group, command.term, GroupPhase.STEADY, None
+            command.group, command.term, GroupPhase.STEADY, command.primary
         )
         return ACCEPTED
 
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -26,6 +26,10 @@
   leaving @11 :Bool;
   # Time since the daemon heard it.
   ageS @12 :Float64;
+  # Grows with each start of the database, 0 if not stated.
+  incarnation @13 :UInt64;
+  # Counts the announcements of an incarnation, 0 if not stated.
+  sequence @14 :UInt64;
 }
 
 struct Evidence {
@@ -118,6 +122,17 @@
 struct ReportRequest {
   announcements @0 :List(Announcement);
   evidence @1 :List(Evidence);
+  # Databases that have ended in a planned way.
+  departed @2 :List(Departure);
+}
+
+struct Departure {
+  database @0 :Text;
+}
+
+struct ReportAnswer {
+  status @0 :Status;
+  leader @1 :Text;
 }
 
 struct OperatorRequest {
--- a/libs/types/siskinsail_types/__init__.py
+++ b/libs/types/siskinsail_types/__init__.py
@@ -17,6 +17,7 @@
 from ._errors import VersionMismatchError as VersionMismatchError
 from ._ids import AccountId as AccountId
 from ._ids import CatalogueVersion as CatalogueVersion
+from ._ids import ConfigurationVersion as ConfigurationVersion
 from ._ids import DatabaseId as DatabaseId
 from ._ids import DataCentreId as DataCentreId
 from ._ids import DiskId as DiskId
@@ -38,6 +39,7 @@
 from ._position import Position as Position
 from ._position import ZERO_POSITION as ZERO_POSITION
 from ._secret import Secret as Secret
+from ._states import Consistency as Consistency
 from ._states import DatabaseRole as DatabaseRole
 from ._states import EntryKind as EntryKind
 from ._states import GroupPhase as GroupPhase
--- a/libs/types/siskinsail_types/_states.py
+++ b/libs/types/siskinsail_types/_states.py
@@ -62,6 +62,20 @@
     OPEN = 'open'
 
 
+@unique
+class Consistency(Enum):
+    """Which commits a read of a route must see.
+
+    ``LATEST``: every commit. ``BOUNDED``: every commit that is older than
+    the age stated by the route. ``SESSION``: those, and every commit of the
+    same session.
+    """
+
+    LATEST = 'latest'
+    BOUNDED = 'bounded'
+    SESSION = 'session'
+
+
 @unique
 class KeyState(Enum):
     """Whether a caller's key is accepted."""
