Run statements of callers' sessions on the platform

The statements library runs sessions statement by statement on connections that belong to a client account; the platform folder translates the line protocol, status reports, operator calls and the promote call.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := types settings telemetry net journal consensus catalogue limits \
-	sessions backend control proxy daemon cli model bench
+	sessions backend control proxy statements daemon cli model bench
 STAMP := $(VENV)/.installed
 MANIFESTS := constraints.txt requirements-dev.txt \
 	$(foreach p,$(PACKAGES),libs/$(p)/pyproject.toml)
--- a/libs/backend/siskinsail_backend/__init__.py
+++ b/libs/backend/siskinsail_backend/__init__.py
@@ -1,5 +1,9 @@
 """Connections to databases: protocol, pools, queues, choice of replica."""
 
+from ._account_pool import AccountAcquireFailure as AccountAcquireFailure
+from ._account_pool import AccountConnection as AccountConnection
+from ._account_pool import AccountPool as AccountPool
+from ._account_pool import Connect as Connect
 from ._allowance_watcher import AllowanceWatcher as AllowanceWatcher
 from ._connection import DatabaseConnection as DatabaseConnection
 from ._connection import Reply as Reply
@@ -15,6 +19,7 @@
 from ._messages import Statement as Statement
 from ._pool import AcquireFailure as AcquireFailure
 from ._pool import ConnectionPool as ConnectionPool
+from ._pool_table import PoolTable as PoolTable
 from ._pools import DatabasePools as DatabasePools
 from ._queue import FairQueue as FairQueue
 from ._queue import FifoQueue as FifoQueue
--- a/libs/backend/siskinsail_backend/_settings.py
+++ b/libs/backend/siskinsail_backend/_settings.py
@@ -32,6 +32,8 @@
         Pause after a connection could not be made.
     refused_delay_s : float
         Pause after the database refused a connection above its limit.
+    idle_connection_s : float
+        Time after which an unused connection of a client account is closed.
     """
 
     data_centre: DataCentreId
@@ -43,6 +45,7 @@
     connect_timeout_s: float = 1.0
     reconnect_delay_s: float = 0.1
     refused_delay_s: float = 0.5
+    idle_connection_s: float = 20.0
 
     def distance_s(self, data_centre: DataCentreId) -> float:
         """Return the one-way latency to a data centre, in seconds."""
--- a/libs/consensus/siskinsail_consensus/_formation.py
+++ b/libs/consensus/siskinsail_consensus/_formation.py
@@ -52,7 +52,8 @@
         settings = self._state.settings
         first = min(member.name for member in settings.members)
         return (
-            settings.vm_id == first
+            settings.may_form
+            and settings.vm_id == first
             and len(answers) == len(settings.members) - 1
         )
 
--- a/libs/consensus/siskinsail_consensus/_settings.py
+++ b/libs/consensus/siskinsail_consensus/_settings.py
@@ -64,6 +64,9 @@
         Proposals that may wait to be written.
     max_snapshot_bytes : int
         Largest snapshot accepted from a leader.
+    may_form : bool
+        Whether a new cluster may be formed; False once one exists, so that
+        members that lost their disks wait for the others.
     """
 
     vm_id: VmId
@@ -85,6 +88,7 @@
     command_bytes: int = 1024 * 1024
     max_waiting: int = 2000
     max_snapshot_bytes: int = 256 * 1024 * 1024
+    may_form: bool = True
     disk: Disk = field(default_factory=FileDisk)
     random: Random = field(default_factory=Random)
     new_id: Callable[[], str] = _new_id
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -181,6 +181,10 @@
         """Note that a connection was refused or reset just now."""
         self._news.database_unreachable(database)
 
+    def add_members(self, members: Mapping[VmId, Address]) -> None:
+        """Take further control members."""
+        self._finder.add(members)
+
     def hear(self, server: BackendServer) -> None:
         """Take an announcement that a database made to this daemon."""
         self._news.hear(server)
--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 import anyio
+import anyio.abc
 
 from siskinsail_net import Network
 from siskinsail_net import PeerClient
@@ -37,11 +38,13 @@
         secret: Secret,
         vm: VmId,
     ) -> None:
-        self._clients = {
-            member: PeerClient(network, address, secret, vm)
-            for member, address in members.items()
-        }
-        self._order = list(self._clients)
+        self._network = network
+        self._secret = secret
+        self._vm = vm
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._clients: dict[VmId, PeerClient] = {}
+        self._order: list[VmId] = []
+        self.add(members)
         self._current = self._order[0]
         self._leader: VmId | None = None
         # The member that last did not answer; others may still name it as
@@ -64,11 +67,27 @@
         """The member to call now."""
         return self._clients[self._current]
 
+    def add(self, members: Mapping[VmId, Address]) -> None:
+        """Take further members; those that are known stay."""
+        for member, address in members.items():
+            if member in self._clients:
+                continue
+            client = PeerClient(self._network, address, self._secret, self._vm)
+            self._clients[member] = client
+            self._order.append(member)
+            if self._tasks is not None:
+                self._tasks.start_soon(client.run)
+
     async def run(self) -> None:
         """Keep the connections up until cancelled."""
         async with anyio.create_task_group() as tasks:
-            for client in self._clients.values():
-                tasks.start_soon(client.run)
+            self._tasks = tasks
+            try:
+                for client in self._clients.values():
+                    tasks.start_soon(client.run)
+                await anyio.sleep_forever()
+            finally:
+                self._tasks = None
 
     def prefer_connected(self) -> None:
         """Leave a member without a connection for one that has one."""
--- a/libs/control/siskinsail_control/_leader_link.py
+++ b/libs/control/siskinsail_control/_leader_link.py
@@ -109,6 +109,10 @@
         """Keep connections to the control members up until cancelled."""
         await self._finder.run()
 
+    def add_members(self, members: Mapping[VmId, Address]) -> None:
+        """Take further control members."""
+        self._finder.add(members)
+
     async def forward(
         self, request: OperatorRequest, timeout_s: float
     ) -> OperatorAnswer | SiskinsailError:
--- /dev/null
+++ b/libs/statements/siskinsail_statements/__init__.py
@@ -0,0 +1,33 @@
+"""Sessions of callers, statement by statement, on pooled connections."""
+
+from ._admission import digest_of as digest_of
+from ._connection import ClientValues as ClientValues
+from ._connection import Connection as Connection
+from ._driver import DatabaseDriver as DatabaseDriver
+from ._driver import DatabaseSession as DatabaseSession
+from ._outcome import Reply as Reply
+from ._outcome import SessionReply as SessionReply
+from ._outcome import StatementError as StatementError
+from ._outcome import StatementErrorCode as StatementErrorCode
+from ._outcome import TransactionState as TransactionState
+from ._positions import PositionSamples as PositionSamples
+from ._replicas import StatementPool as StatementPool
+from ._replicas import StatementPools as StatementPools
+from ._service import make_pools as make_pools
+from ._service import StatementService as StatementService
+from ._session import CallerSession as CallerSession
+from ._settings import StatementSettings as StatementSettings
+from ._statement import Begin as Begin
+from ._statement import CallerStatement as CallerStatement
+from ._statement import Command as Command
+from ._statement import Commit as Commit
+from ._statement import DatabaseStatement as DatabaseStatement
+from ._statement import Deallocate as Deallocate
+from ._statement import Discard as Discard
+from ._statement import Execute as Execute
+from ._statement import Prepare as Prepare
+from ._statement import Query as Query
+from ._statement import Rollback as Rollback
+from ._statement import SetValue as SetValue
+from ._statement import Shape as Shape
+from ._statement import Status as Status
--- /dev/null
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -0,0 +1,147 @@
+"""Sessions of callers on the databases of a fleet."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+from prometheus_client import CollectorRegistry
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from siskinsail_backend import AccountPool
+from siskinsail_backend import BackendSettings
+from siskinsail_backend import DatabaseError
+from siskinsail_backend import PoolTable
+from siskinsail_backend import QueueLimits
+from siskinsail_catalogue import BackendServer
+from siskinsail_catalogue import ViewSource
+from siskinsail_limits import RateLimiter
+from siskinsail_types import AccountId
+from siskinsail_types import Clock
+from siskinsail_types import ConnectionAllowance
+from siskinsail_types import EvidenceSink
+from siskinsail_types import KeyDigest
+from siskinsail_types import RouteId
+
+from ._admission import SessionAdmission
+from ._connection import Connection
+from ._context import SessionContext
+from ._driver import DatabaseDriver
+from ._metrics import StatementMetrics
+from ._outcome import StatementError
+from ._primaries import Primaries
+from ._replicas import Replicas
+from ._replicas import StatementPool
+from ._replicas import StatementPools
+from ._runner import StatementRunner
+from ._sampler import PositionSampler
+from ._session import CallerSession
+from ._settings import StatementSettings
+
+
+def make_pools(
+    settings: BackendSettings,
+    driver: DatabaseDriver,
+    allowance: ConnectionAllowance,
+    evidence: EvidenceSink,
+    clock: Clock,
+) -> StatementPools:
+    """Return pools whose connections a driver opens for client accounts."""
+    connect = _connector(driver)
+
+    def make_pool(server: BackendServer, limits: QueueLimits) -> StatementPool:
+        return AccountPool(
+            server, settings, connect, allowance, evidence, limits, clock
+        )
+
+    return PoolTable(settings, allowance, clock, make_pool)
+
+
+def _connector(
+    driver: DatabaseDriver,
+) -> Callable[
+    [BackendServer, AccountId, float],
+    Awaitable[Result[Connection, DatabaseError]],
+]:
+    async def connect(
+        server: BackendServer, account: AccountId, timeout_s: float
+    ) -> Result[Connection, DatabaseError]:
+        opened = await driver.connect(server, account, timeout_s)
+        if isinstance(opened, Failure):
+            return Failure(opened.failure())
+        return Success(Connection(opened.unwrap(), account))
+
+    return connect
+
+
+class StatementService:
+    """Opens sessions of callers.
+
+    Parameters
+    ----------
+    settings : StatementSettings
+        Limits and policies.
+    views : ViewSource
+        View and lease in force.
+    limiter : RateLimiter
+        Rates of client accounts.
+    pools : StatementPools
+        Connections to databases, from ``make_pools``.
+    evidence : EvidenceSink
+        Is told of answers and of lost connections.
+    clock : Clock
+        Source of time.
+    registry : CollectorRegistry
+        Where metrics are registered.
+
+    Examples
+    --------
+    ``service.run()`` and ``pools.run(views)`` run in tasks of their own;
+    each connection of a caller opens a session and executes its statements
+    one after the other.
+    """
+
+    def __init__(
+        self,
+        settings: StatementSettings,
+        views: ViewSource,
+        limiter: RateLimiter,
+        pools: StatementPools,
+        evidence: EvidenceSink,
+        clock: Clock,
+        registry: CollectorRegistry,
+    ) -> None:
+        metrics = StatementMetrics(registry)
+        self._metrics = metrics
+        primaries = Primaries(views, pools, clock)
+        replicas = Replicas(pools, settings.distance_s, clock)
+        runner = StatementRunner(
+            settings, views, primaries, replicas, evidence, clock, metrics
+        )
+        self._sampler = PositionSampler(settings, runner, primaries, clock)
+        self._admission = SessionAdmission(settings, views, limiter, clock)
+        self._context = SessionContext(
+            settings, self._admission, runner, self._sampler, clock, metrics
+        )
+
+    async def run(self) -> None:
+        """Keep samples and end transactions until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._sampler.run)
+            tasks.start_soon(self._context.run)
+
+    def open(
+        self, database: RouteId, key: KeyDigest
+    ) -> Result[CallerSession, StatementError]:
+        """Open a session on a route for the holder of a key."""
+        checked = self._admission.check(database, key)
+        if isinstance(checked, Failure):
+            return Failure(checked.failure())
+        self._metrics.sessions.inc()
+        return Success(CallerSession(self._context, database, key))
+
+    def close(self, session: CallerSession) -> None:
+        """Close a session; an open transaction is rolled back."""
+        session.close()
+        self._metrics.sessions.dec()
