Serve requests sooner after restarts and while no lender answers

A new lender reserved the cap of each borrower that it had not heard, 1.5 bursts for six daemons, so that all requests waited for 5 s after a restart of the whole fleet. The reserve is bounded by the burst now, and ends for a process whose VM has registered a later one. Daemons that reach no lender may use a part of the overrun that the settings tolerate. An answered peer call no longer counts as waiting, which closed idle connections at their next call.

--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -349,6 +349,7 @@
             )
         lease_end_s = sent_s + self._settings.lease_s
         self._lease_end_s = max(self._lease_end_s, lease_end_s)
+        self._borrower.set_daemons(answer.daemons)
         self._borrower.apply([one.grant for one in answer.grants], sent_s)
         self._note_lease()
 
--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -7,6 +7,7 @@
 
 from siskinsail_net import Network
 from siskinsail_net import PeerClient
+from siskinsail_telemetry import log_event
 from siskinsail_types import Address
 from siskinsail_types import Secret
 from siskinsail_types import VmId
@@ -113,6 +114,9 @@
             return
         self._silent = self._current
         self._choose_next()
+        log_event(
+            'control_member_silent', member=self._silent, next=self._current
+        )
 
     def note_refusal(self, client: PeerClient, hint: str) -> bool:
         """Go on to the leader that a member named, or to the next member.
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -116,6 +116,7 @@
         record.ready = request.ready
         if request.leader_term == 0:
             record.registration = request.sequence
+            self._note_restart(key)
             self._lender.register(
                 borrower_name(key),
                 {one.account: one.balance for one in request.balances},
@@ -187,6 +188,13 @@
         self._deregistered.discard(key)
         return self._context.is_active
 
+    def _note_restart(self, key: DaemonKey) -> None:
+        """Take note that the earlier processes of a VM have ended."""
+        vm, incarnation = key
+        for other in self._context.state.active_daemons:
+            if other[0] == vm and other[1] != incarnation:
+                self._lender.note_ended(borrower_name(other))
+
     def _is_registered(self, key: DaemonKey, leader_term: int) -> bool:
         return (
             leader_term == self._context.term
@@ -304,6 +312,7 @@
             tuple(map(GrantMessage.of, grants)),
             allowances is not None,
             tuple(Allowance(*one) for one in (allowances or {}).items()),
+            len(self._context.state.active_daemons),
         )
 
     def _refuse(self, status: Status) -> SyncAnswer:
--- a/libs/control/siskinsail_control/_loan_ports.py
+++ b/libs/control/siskinsail_control/_loan_ports.py
@@ -38,6 +38,10 @@
         """Take the balances of a daemon."""
         ...
 
+    def note_ended(self, borrower: str) -> None:
+        """Take note that the process of a daemon has ended."""
+        ...
+
     def exchange(
         self, borrower: str, reports: list[LoanReport]
     ) -> list[LoanGrant]:
@@ -60,6 +64,10 @@
         """Take the rates and bursts of the view."""
         ...
 
+    def set_daemons(self, daemons: int) -> None:
+        """Take the number of daemons that borrow from the lender."""
+        ...
+
     def give_back(self) -> None:
         """Return all tokens with the next reports."""
         ...
--- a/libs/control/siskinsail_control/_messages.py
+++ b/libs/control/siskinsail_control/_messages.py
@@ -190,6 +190,7 @@
     grants: tuple[GrantMessage, ...] = ()
     has_allowances: bool = False
     allowances: tuple[Allowance, ...] = ()
+    daemons: int = 0
 
 
 class BorrowRequest(_Message, frozen=True):
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -103,6 +103,8 @@
   # Connections lent, all databases; meaningful only with hasAllowances.
   hasAllowances @5 :Bool;
   allowances @6 :List(Allowance);
+  # Daemons that hold leases.
+  daemons @7 :UInt32;
 }
 
 struct BorrowRequest {
--- a/libs/limits/siskinsail_limits/_account_loans.py
+++ b/libs/limits/siskinsail_limits/_account_loans.py
@@ -53,9 +53,10 @@
     report, since its tokens may have been spent. This bounds what all
     borrowers admit in T seconds by ``burst + rate * T``.
 
-    No borrower holds more than ``cap`` tokens, so a new leader knows how much
-    a borrower that it has not heard yet can hold at most. ``reserved`` counts
-    that for all such borrowers; it is part of what is outstanding.
+    No borrower holds more than ``cap`` tokens, and all of them together no
+    more than the burst, so a new leader knows how much the borrowers that it
+    has not heard yet can hold at most. ``reserved`` counts that; it is part
+    of what is outstanding.
 
     The level is the lesser of two: what was earned at the rate since an
     earlier leader last lent, and the room that outstanding tokens leave,
@@ -94,7 +95,10 @@
         self._borrower_share = borrower_share
         # Loans of the earlier leader do not shrink with a later burst.
         self._earlier_cap = self.cap
-        self.reserved = unknown_borrowers * self._earlier_cap
+        self._earlier_burst = burst
+        self._unknown = unknown_borrowers
+        self._stated = 0.0
+        self.reserved = self._possible_reserve
         self.outstanding = 0.0
         self.loans: dict[str, Loan] = {}
         self._earned = min(burst, earned)
@@ -144,8 +148,26 @@
             Tokens that the borrower may have held when the earlier leader
             last lent, spent or not.
         """
-        self.reserved = max(0.0, self.reserved - self._earlier_cap)
-        self._room += self._earlier_cap - stated
+        before = self.reserved
+        self._stated += stated
+        self.forget_unknown()
+        self._room += before - self.reserved - stated
+
+    def forget_unknown(self) -> None:
+        """Drop the reserve of a borrower that has ended.
+
+        Its tokens count as spent just before its end.
+        """
+        self._unknown = max(0, self._unknown - 1)
+        self.reserved = min(self.reserved, self._possible_reserve)
+
+    @property
+    def _possible_reserve(self) -> float:
+        """Tokens that borrowers not heard yet may hold together."""
+        return min(
+            self._unknown * self._earlier_cap,
+            max(0.0, self._earlier_burst - self._stated),
+        )
 
     def end_reserve(self) -> None:
         """Drop the reserve of borrowers whose loans have ended.
@@ -153,6 +175,7 @@
         They may have spent the tokens just before, so the room refills at
         the rate.
         """
+        self._unknown = 0
         self.reserved = 0.0
 
     def register(self, borrower: str, balance: float, *, charge: bool) -> None:
--- a/libs/limits/siskinsail_limits/_borrower.py
+++ b/libs/limits/siskinsail_limits/_borrower.py
@@ -21,6 +21,7 @@
 from ._loan import LoanBalance
 from ._loan import LoanGrant
 from ._loan import LoanReport
+from ._overdraft import Overdraft
 from ._purse import Purse
 from ._purse import Waiter
 from ._settings import AccountLimit
@@ -54,6 +55,12 @@
         self._urgent_borrow: UrgentBorrow | None = None
         self._registered_s = float('-inf')
         self._registrations = 0
+        self._overdrafts: dict[AccountId, Overdraft] = {}
+        self._daemons = 0
+
+    def set_daemons(self, daemons: int) -> None:
+        """Take the number of daemons that borrow from the lender."""
+        self._daemons = daemons
 
     def set_limits(self, limits: Mapping[AccountId, AccountLimit]) -> None:
         """Take over the accounts of the view."""
@@ -173,7 +180,15 @@
                 # tokens, so only a silent one ends the wait.
                 heard_s = max(started_s, purse.answered_s)
                 end_s = heard_s + self._settings.lender_wait_s
-                left_s = min(deadline_s, end_s) - self._clock.now_s()
+                now_s = self._clock.now_s()
+                left_s = min(deadline_s, end_s) - now_s
+                silent_s = now_s - heard_s
+                if silent_s >= self._settings.overdraft_after_s:
+                    if self._overdraw(account, now_s):
+                        return Success(None)
+                elif self._settings.overdraft_window_s:
+                    after_s = self._settings.overdraft_after_s - silent_s
+                    left_s = min(left_s, after_s)
                 if left_s <= 0:
                     break
                 with anyio.move_on_after(left_s):
@@ -189,6 +204,16 @@
         left_s = purse.refused_until_s - self._clock.now_s()
         return _refused('rate exceeded', max(0.0, left_s) or None)
 
+    def _overdraw(self, account: AccountId, now_s: float) -> bool:
+        """Tell whether a request may run without a token of the lender."""
+        limit = self._limits.get(account)
+        if limit is None:
+            return False
+        overdraft = self._overdrafts.get(account)
+        if overdraft is None:
+            overdraft = self._overdrafts[account] = Overdraft(self._settings)
+        return overdraft.take(limit, self._daemons, now_s)
+
     async def _wait_or_call(
         self, account: AccountId, purse: Purse, waiter: Waiter
     ) -> None:
--- a/libs/limits/siskinsail_limits/_lender.py
+++ b/libs/limits/siskinsail_limits/_lender.py
@@ -152,6 +152,24 @@
                     borrower, balance.held, charge=not is_reserved
                 )
 
+    def note_ended(self, borrower: str) -> None:
+        """Take note that the process of a borrower has ended.
+
+        Its loans need not be waited for: what it held was spent before its
+        end, or never will be.
+        """
+        now_s = self._clock.now_s()
+        if borrower in self._awaited:
+            self._awaited.discard(borrower)
+            for account in self._accounts.values():
+                self._refill(account, now_s)
+                account.forget_unknown()
+        elif borrower in self._answered_s and borrower not in self._ended:
+            self._ended.add(borrower)
+            for account in self._accounts.values():
+                self._refill(account, now_s)
+                account.end(borrower)
+
     def exchange(
         self, borrower: str, reports: list[LoanReport]
     ) -> list[LoanGrant]:
--- a/libs/limits/siskinsail_limits/_settings.py
+++ b/libs/limits/siskinsail_limits/_settings.py
@@ -57,6 +57,15 @@
         bucket is about to hold one.
     token_waiters : int
         Requests of one client account that may wait in a daemon.
+    overdraft_window_s : float
+        Window in which an overrun of the limit is tolerated; 0 for none.
+    overdraft_share, overdraft_tokens : float
+        Tolerated overrun in a window over all daemons: a share of what the
+        limit allows in it, and tokens besides. Daemons that reach no lender
+        divide it equally.
+    overdraft_after_s : float
+        Time without an answer of the lender after which a request may use
+        the tolerated overrun.
     """
 
     limit_policy: LimitPolicy = LimitPolicy.LENT
@@ -70,3 +79,8 @@
     lender_wait_s: float = 3.0
     token_retry_s: float = 0.02
     token_waiters: int = 200
+    overdraft_window_s: float = 0.0
+    overdraft_share: float = 0.0
+    overdraft_tokens: float = 0.0
+    # Several round trips between regions.
+    overdraft_after_s: float = 0.15
--- a/libs/net/siskinsail_net/_peer_client.py
+++ b/libs/net/siskinsail_net/_peer_client.py
@@ -1,11 +1,11 @@
 """Client side of calls between daemons."""
 
-import contextlib
 import secrets
 
 import anyio
 import anyio.abc
 
+from siskinsail_telemetry import log_event
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
 from siskinsail_types import Clock
@@ -111,6 +111,7 @@
         self._pending: dict[int, _PendingCall] = {}
         self._next_id = 1
         self._peer_id = VmId('')
+        self._is_loss_logged = False
 
     @property
     def remote(self) -> Address:
@@ -130,10 +131,10 @@
     async def run(self) -> None:
         """Keep the connection up until cancelled."""
         while True:
-            with contextlib.suppress(
-                SiskinsailError, TimeoutError, *_DISCONNECTED
-            ):
+            try:
                 await self._connect_and_receive()
+            except (SiskinsailError, TimeoutError, *_DISCONNECTED) as error:
+                self._note_lost(error)
             await anyio.sleep(RECONNECT_DELAY_S)
 
     async def call(
@@ -180,6 +181,17 @@
             self._pending.pop(request_id, None)
         return _payload_of(pending)
 
+    def _note_lost(self, error: Exception) -> None:
+        """Log the loss of a connection, or the first failure to make one."""
+        if self._is_loss_logged:
+            return
+        self._is_loss_logged = True
+        log_event(
+            'peer_lost',
+            peer=str(self._remote),
+            reason=f'{type(error).__name__}: {error}',
+        )
+
     async def _connect_and_receive(self) -> None:
         stream = await self._network.connect(self._remote, CONNECT_TIMEOUT_S)
         frames = FrameStream(stream)
@@ -189,6 +201,8 @@
             self._frames = frames
             self._silent_since_s = None
             self._connected.set()
+            self._is_loss_logged = False
+            log_event('peer_connected', peer=str(self._remote))
             await self._receive(frames)
         finally:
             self._frames = None
@@ -243,7 +257,9 @@
     def _deliver(self, frame: Frame) -> None:
         if frame.request_id == 0:
             raise ProtocolError(f'{self._remote}: {frame.payload!r}')
-        pending = self._pending.get(frame.request_id)
+        # A call that is answered waits no longer: it must not count as
+        # waiting until its task runs, or the silence seems to begin here.
+        pending = self._pending.pop(frame.request_id, None)
         # The caller of a call that timed out is gone; its answer is dropped.
         if pending is not None:
             pending.answer = frame
