Lend connections at once after daemons were restarted

A new leader lent none for 2.6 s, until the leases of daemons that were killed had ended, although later processes of their VMs had registered.

--- a/libs/control/siskinsail_control/_daemon_table.py
+++ b/libs/control/siskinsail_control/_daemon_table.py
@@ -166,6 +166,20 @@
             end_s = record.lease_end_s
         return self._clock.now_s() - end_s
 
+    def note_ended(self, key: DaemonKey) -> None:
+        """Take note that the process of a daemon has ended.
+
+        Its lease ended with it, whoever granted it.
+        """
+        self._unheard.discard(key)
+        record = self._records.get(key)
+        if record is None:
+            self._released_s[key] = self._clock.now_s()
+        else:
+            record.lease_end_s = self._clock.now_s()
+            self.release(record)
+        self._notify()
+
     def forget_unheard(self, key: DaemonKey) -> None:
         """Do not wait any more for a daemon that never called."""
         self._unheard.discard(key)
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -194,6 +194,7 @@
         for other in self._context.state.active_daemons:
             if other[0] == vm and other[1] != incarnation:
                 self._lender.note_ended(borrower_name(other))
+                self._table.note_ended(other)
 
     def _is_registered(self, key: DaemonKey, leader_term: int) -> bool:
         return (
