Wait for the daemon lease where it is expected back, and report changes only

Callers that connected to a process that had just started were refused and spent their retries before the lease came. Sync calls leave out accounts without changes and signs of life of replicas.

--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -305,13 +305,20 @@
                 Balance.of(account, balance)
                 for account, balance in balances.items()
             ),
-            reports=tuple(self._borrower.reports()),
+            reports=tuple(self._borrower.reports(changes_only=changes_only)),
             announcements=self._news.announcements(members),
-            evidence=self._news.evidence(),
+            evidence=self._news.evidence(self._primaries()),
             connections=self._allowances.reports(changes_only=changes_only),
             changes_only=changes_only,
         )
 
+    def _primaries(self) -> frozenset[DatabaseId]:
+        return frozenset(
+            group.primary
+            for group in self._view.groups
+            if group.primary is not None
+        )
+
     def _take_view(self, data: bytes) -> bool:
         """Apply a delta; return whether the answer may be used."""
         if not data:
--- a/libs/control/siskinsail_control/_loan_ports.py
+++ b/libs/control/siskinsail_control/_loan_ports.py
@@ -76,7 +76,7 @@
         """Return the balances to state to a new leader."""
         ...
 
-    def reports(self) -> list[LoanReport]:
+    def reports(self, *, changes_only: bool = False) -> list[LoanReport]:
         """Return the reports for the next sync call."""
         ...
 
--- a/libs/control/siskinsail_control/_news.py
+++ b/libs/control/siskinsail_control/_news.py
@@ -1,5 +1,6 @@
 """What a daemon hears of databases and passes on to the leader."""
 
+from collections.abc import Container
 from collections.abc import Iterable
 
 import anyio
@@ -84,9 +85,23 @@
         self._has_announced = bool(found)
         return found
 
-    def evidence(self) -> tuple[Evidence, ...]:
-        """Return the signs of life and of failure, for a sync call."""
-        found = self._evidence()
+    def evidence(
+        self, primaries: Container[DatabaseId] | None = None
+    ) -> tuple[Evidence, ...]:
+        """Return the signs of life and of failure, for a sync call.
+
+        Parameters
+        ----------
+        primaries : container or None
+            Databases whose signs of life the leader needs; None for all.
+        """
+        found = tuple(
+            one
+            for one in self._evidence()
+            if primaries is None
+            or not one.answered
+            or one.database in primaries
+        )
         self._has_evidence = bool(found)
         return found
 
--- a/libs/limits/siskinsail_limits/_borrower.py
+++ b/libs/limits/siskinsail_limits/_borrower.py
@@ -57,6 +57,7 @@
         self._registrations = 0
         self._overdrafts: dict[AccountId, Overdraft] = {}
         self._daemons = 0
+        self._reported: dict[AccountId, LoanReport] = {}
 
     def set_daemons(self, daemons: int) -> None:
         """Take the number of daemons that borrow from the lender."""
@@ -93,14 +94,26 @@
             if balance.held > 0 or balance.spent > 0
         }
 
-    def reports(self) -> list[LoanReport]:
-        """Return the state of each account that was ever used."""
+    def reports(self, *, changes_only: bool = False) -> list[LoanReport]:
+        """Return the state of each account that was ever used.
+
+        Parameters
+        ----------
+        changes_only : bool
+            Leave out accounts whose last report says all, and that want
+            nothing.
+        """
         now_s = self._clock.now_s()
+        before = self._reported if changes_only else {}
+        self._reported = {}
         reports = []
         for account, purse in self._purses.items():
             purse.return_surplus(now_s)
             report = purse.report(account, now_s, is_urgent=False)
-            if report.received or report.wanted:
+            if not report.received and not report.wanted:
+                continue
+            self._reported[account] = report
+            if report.wanted or report != before.get(account):
                 reports.append(report)
         return reports
 
--- a/libs/statements/siskinsail_statements/_admission.py
+++ b/libs/statements/siskinsail_statements/_admission.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+import anyio
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -29,6 +30,10 @@
 
 _NO_LEASE_RETRY_S = 0.5
 _OPEN_RETRY_S = 1.0
+_LEASE_CHECK_S = 0.1
+# A lease that has been missed for so many times the longest wait is not
+# expected back soon.
+_MAX_LAPSE = 2.0
 
 
 class Admitted(NamedTuple):
@@ -68,16 +73,37 @@
         self._views = views
         self._limiter = limiter
         self._clock = clock
+        self._started_s = clock.now_s()
         self._open_limit = LocalLimit(
             settings.open_rate, settings.open_burst, clock
         )
 
+    async def wait_for_lease(self, deadline_s: float) -> None:
+        """Wait for the daemon lease where it may be regained soon."""
+        started_s = self._clock.now_s()
+        lapsed_s = min(started_s - self._started_s, self._views.lease_gap_s)
+        limit_s = self._settings.lease_wait_s
+        if not self._is_lapsed or lapsed_s >= _MAX_LAPSE * limit_s:
+            return
+        end_s = min(deadline_s, started_s + limit_s)
+        while self._is_lapsed and (left_s := end_s - self._clock.now_s()) > 0:
+            version = self._views.view.version
+            with anyio.move_on_after(min(left_s, _LEASE_CHECK_S)):
+                await self._views.wait_for_change(version)
+
+    @property
+    def _is_lapsed(self) -> bool:
+        return (
+            self._views.view.version == 0
+            or self._views.lease_state is LeaseState.LAPSED
+        )
+
     def check(
         self, database: RouteId, key: KeyDigest
     ) -> Result[Admitted, StatementError]:
         """Tell who a key stands for on a route, without taking a token."""
         view = self._views.view
-        if view.version == 0 or self._views.lease_state is LeaseState.LAPSED:
+        if self._is_lapsed:
             return Failure(
                 StatementError(
                     StatementErrorCode.BUSY,
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 
 import anyio
 from prometheus_client import CollectorRegistry
@@ -131,10 +132,11 @@
             tasks.start_soon(self._sampler.run)
             tasks.start_soon(self._context.run)
 
-    def open(
+    async def open(
         self, database: RouteId, key: KeyDigest
     ) -> Result[CallerSession, StatementError]:
         """Open a session on a route for the holder of a key."""
+        await self._admission.wait_for_lease(math.inf)
         checked = self._admission.check(database, key)
         if isinstance(checked, Failure):
             return Failure(checked.failure())
--- a/libs/statements/siskinsail_statements/_session.py
+++ b/libs/statements/siskinsail_statements/_session.py
@@ -36,6 +36,8 @@
 MAX_VALUES = 200
 MAX_PREPARED = 200
 _RETRY_S = 0.25
+# The route, and with it the time limit, is not known before the lease.
+_LEASE_DEADLINE_S = 1.0
 
 
 class CallerSession:
@@ -314,6 +316,9 @@
         self, received_s: float
     ) -> Result[Admitted, StatementError]:
         """Check key and route and take a token for an operation."""
+        await self._context.admission.wait_for_lease(
+            received_s + _LEASE_DEADLINE_S
+        )
         checked = self._context.admission.check(self._database, self._key)
         if isinstance(checked, Failure):
             return checked
--- a/libs/statements/siskinsail_statements/_settings.py
+++ b/libs/statements/siskinsail_statements/_settings.py
@@ -30,6 +30,11 @@
     samples_kept_s : float
         How long position samples are kept; the greatest age that a read on
         a replica can use, in seconds.
+    lease_wait_s : float
+        Longest wait of a session or an operation for the daemon lease, in
+        seconds: a process that has just started, or a change of the control
+        leader, needs less. Without a lease for longer than this, callers
+        are refused at once.
     token_wait_s : float
         Longest wait for a token of the client account, in seconds.
     rollback_timeout_s : float
@@ -50,6 +55,7 @@
     sample_age_s: float = 0.6
     sample_demand_s: float = 3.0
     samples_kept_s: float = 10.0
+    lease_wait_s: float = 1.5
     token_wait_s: float = 0.4
     rollback_timeout_s: float = 1.0
     retry_share: float = 0.2
