--- a/libs/control/siskinsail_control/_primary_change.py
+++ b/libs/control/siskinsail_control/_primary_change.py
@@ -80,6 +80,8 @@
             return
         term = max(server.term for server in servers)
         primary = self._present_primary(servers)
+        if primary is None and self._may_be_led(servers):
+            return
         await self._context.propose(RegisterGroup(self._group, term, primary))
         log_event(
             'control_group_registered',
@@ -104,6 +106,16 @@
         ]
         return leading[0] if len(leading) == 1 else None
 
+    def _may_be_led(self, servers: tuple[BackendServer, ...]) -> bool:
+        """Tell whether a primary may exist that was not heard yet.
+
+        Promoting another database would take its place without need.
+        """
+        waited_s = self._clock.now_s() - self._watched_since_s
+        return waited_s < self._settings.announcement_s and not any(
+            server.is_term_stated for server in servers
+        )
+
     async def _reason_for_change(self, state: GroupState) -> str:
         """Return why the primary must change, empty if it must not."""
         if state.phase is GroupPhase.CHANGING:
--- a/libs/statements/siskinsail_statements/_admission.py
+++ b/libs/statements/siskinsail_statements/_admission.py
@@ -1,5 +1,6 @@
 """Who may open a session and run operations in it."""
 
+import math
 from typing import NamedTuple
 
 import anyio
@@ -81,7 +82,9 @@
     async def wait_for_lease(self, deadline_s: float) -> None:
         """Wait for the daemon lease where it may be regained soon."""
         started_s = self._clock.now_s()
-        lapsed_s = min(started_s - self._started_s, self._views.lease_gap_s)
+        lapsed_s = self._views.lease_gap_s
+        if math.isinf(lapsed_s):
+            lapsed_s = started_s - self._started_s
         limit_s = self._settings.lease_wait_s
         if not self._is_lapsed or lapsed_s >= _MAX_LAPSE * limit_s:
             return
--- /dev/null
+++ b/libs/statements/tests/statement_group.py
@@ -0,0 +1,440 @@
+"""Databases in memory behind the sessions of one process."""
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import field
+
+import anyio
+import anyio.lowlevel
+import msgspec
+from prometheus_client import CollectorRegistry
+from returns.result import Failure
+from returns.result import Success
+
+from siskinsail_backend import BackendSettings
+from siskinsail_backend import ConnectionFailedError
+from siskinsail_backend import DatabaseRefusalError
+from siskinsail_catalogue import AccountEntry
+from siskinsail_catalogue import BackendServer
+from siskinsail_catalogue import GroupState
+from siskinsail_catalogue import KeyEntry
+from siskinsail_catalogue import RouteEntry
+from siskinsail_catalogue import ServiceEntry
+from siskinsail_catalogue import SessionPolicy
+from siskinsail_catalogue import View
+from siskinsail_statements import Begin
+from siskinsail_statements import Commit
+from siskinsail_statements import digest_of
+from siskinsail_statements import Discard
+from siskinsail_statements import Execute
+from siskinsail_statements import make_pools
+from siskinsail_statements import Prepare
+from siskinsail_statements import Query
+from siskinsail_statements import Reply
+from siskinsail_statements import Rollback
+from siskinsail_statements import SetValue
+from siskinsail_statements import StatementError
+from siskinsail_statements import StatementErrorCode
+from siskinsail_statements import StatementService
+from siskinsail_statements import StatementSettings
+from siskinsail_statements import TransactionState
+from siskinsail_types import Consistency
+from siskinsail_types import DatabaseRole
+from siskinsail_types import ErrorCode
+from siskinsail_types import GroupPhase
+from siskinsail_types import LeaseState
+from siskinsail_types import LogIndex
+from siskinsail_types import Position
+from siskinsail_types import RequestError
+from siskinsail_types import RouteAccess
+from siskinsail_types import RouteMode
+from siskinsail_types import SystemClock
+from siskinsail_types import Term
+
+CLOCK = SystemClock()
+SERVICE = 'orders'
+KEYS = {'agent-key': 'agents', 'depot-key': 'depots'}
+ROUTES = {
+    'latest': (Consistency.LATEST, None),
+    'bounded': (Consistency.BOUNDED, 1.5),
+    'own': (Consistency.SESSION, 1.5),
+}
+BUSY = StatementErrorCode.BUSY
+
+
+@dataclass
+class Run:
+    """A statement as a database ran it."""
+
+    database: str
+    connection: int
+    account: str
+    request_id: str | None
+    text: str
+    values: dict
+    in_transaction: bool
+
+
+@dataclass
+class Database:
+    """A database that tests put into any state.
+
+    ``began`` is the index at which its term began.
+    ``answers`` holds what comes instead of the next answers: an error code,
+    or ``lost`` for none although the statement runs.
+    """
+
+    name: str
+    is_primary: bool
+    term: int = 1
+    index: int = 10
+    began: int = 0
+    delay_s: float = 0.0
+    is_down: bool = False
+    limit: int = 100
+    answers: list = field(default_factory=list)
+    open: int = 0
+
+    @property
+    def position(self):
+        return Position(Term(self.term), LogIndex(self.index))
+
+
+class Session:
+    """A connection; keeps values, names and the transaction."""
+
+    count = 0
+
+    def __init__(self, group, database, account):
+        Session.count += 1
+        self.number = Session.count
+        self.group = group
+        self.database = database
+        self.account = account
+        self.values = {}
+        self.prepared = {}
+        self.state = TransactionState.IDLE
+        self.is_plain = False
+        self.wrote = False
+        self.is_open = True
+        self.is_lost = False
+        database.open += 1
+
+    async def exchange(self, commands, timeout_s):
+        done = False
+        try:
+            with anyio.fail_after(timeout_s):
+                replies = []
+                for command in commands:
+                    replies.append(await self.answer(command))
+                done = True
+                return Success(replies)
+        except TimeoutError:
+            return Failure(ConnectionFailedError('late', is_timeout=True))
+        except ConnectionResetError:
+            self.is_lost = True
+            return Failure(ConnectionFailedError('lost'))
+        finally:
+            if not done:
+                await self.aclose()
+
+    async def aclose(self):
+        if self.is_open:
+            self.is_open = False
+            self.database.open -= 1
+
+    async def answer(self, command):
+        statement = command.statement
+        database = self.database
+        if database.is_down or not self.is_open:
+            raise ConnectionResetError
+        match statement:
+            case SetValue(name, value):
+                self.values[name] = value
+            case Prepare(name, shape):
+                self.prepared[name] = shape
+            case Discard():
+                self.values.clear()
+                self.prepared.clear()
+            case Rollback():
+                self.state = TransactionState.IDLE
+            case Begin(is_read_only):
+                return self.begin(command, is_read_only)
+            case Query(text, is_write):
+                return await self.run(command, text, is_write)
+            case Execute(name, arguments):
+                shape = self.prepared[name]
+                text = f'{shape.text} {arguments}'
+                return await self.run(command, text, shape.is_write)
+            case Commit():
+                return await self.commit(command)
+        return self.reply()
+
+    def reply(self, receipt='', rows=(), code=None):
+        error = None if code is None else StatementError(code, 'refused')
+        return Reply(rows, receipt, error, self.state, self.database.position)
+
+    def begin(self, command, is_read_only):
+        if not is_read_only and not self.database.is_primary:
+            return self.reply(code=StatementErrorCode.READ_ONLY)
+        if self.lacks(command.after):
+            return self.reply(code=StatementErrorCode.LAGGING)
+        self.state = TransactionState.OPEN
+        self.is_plain = not is_read_only
+        self.wrote = False
+        return self.reply()
+
+    def lacks(self, after):
+        if after is None:
+            return False
+        # What the log of an earlier term had behind the start of this one
+        # is lost.
+        database = self.database
+        is_lost = after.term < database.term and after.index > database.began
+        return is_lost or database.position < after
+
+    async def run(self, command, text, is_write):
+        database = self.database
+        code = await self.code()
+        if isinstance(code, StatementErrorCode):
+            self.fail()
+            return self.reply(code=code)
+        is_lead_lost = self.is_plain and not database.is_primary
+        if (is_write and not database.is_primary) or (
+            self.state is TransactionState.OPEN and is_lead_lost
+        ):
+            self.fail()
+            return self.reply(code=StatementErrorCode.READ_ONLY)
+        if self.lacks(command.after):
+            return self.reply(code=StatementErrorCode.LAGGING)
+        self.group.runs.append(
+            Run(
+                database.name,
+                self.number,
+                self.account,
+                command.request_id,
+                text,
+                dict(self.values),
+                self.state is TransactionState.OPEN,
+            )
+        )
+        if is_write and self.state is TransactionState.IDLE:
+            self.group.commit(command.request_id)
+        self.wrote = self.wrote or is_write
+        if code == 'lost':
+            raise ConnectionResetError
+        return self.reply(f'{database.name}.proof', ('row',))
+
+    async def commit(self, command):
+        code = await self.code()
+        if isinstance(code, StatementErrorCode):
+            return self.reply(code=code)
+        self.state = TransactionState.IDLE
+        if self.wrote:
+            self.group.commit(command.request_id)
+        if code == 'lost':
+            raise ConnectionResetError
+        return self.reply(f'{self.database.name}.proof')
+
+    async def code(self):
+        await anyio.sleep(self.database.delay_s)
+        if self.database.answers:
+            return self.database.answers.pop(0)
+        return None
+
+    def fail(self):
+        if self.state is TransactionState.OPEN:
+            self.state = TransactionState.FAILED
+
+
+class Views:
+    """A view source that tests set."""
+
+    def __init__(self):
+        self.view = View(0, 0)
+        self.lease_state = LeaseState.HELD
+        self.lease_gap_s = 0.0
+        self._changed = anyio.Event()
+
+    def change(self, **parts):
+        version = self.view.version + 1
+        self.view = msgspec.structs.replace(
+            self.view, version=version, **parts
+        )
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def wait_for_change(self, version):
+        while self.view.version == version:
+            await self._changed.wait()
+
+
+class Limiter:
+    """Admits everyone but the accounts that are ``over``."""
+
+    def __init__(self):
+        self.over = set()
+        self.taken = 0
+
+    async def acquire(self, account, deadline_s):
+        if account in self.over:
+            return Failure(
+                RequestError(ErrorCode.RATE_LIMITED, 'over', retry_after_s=0.5)
+            )
+        self.taken += 1
+        return Success(None)
+
+
+class Group:
+    """Databases d0 (primary), d1 and d2, and sessions on them."""
+
+    def __init__(self, tasks, connections, **settings):
+        self.tasks = tasks
+        self.connections = connections
+        self.databases = {
+            name: Database(name, name == 'd0') for name in ('d0', 'd1', 'd2')
+        }
+        self.runs = []
+        self.commits = []
+        self.reported = []
+        self.replicates = True
+        self.views = Views()
+        self.limiter = Limiter()
+        self.pools = make_pools(BackendSettings('a'), self, self, self, CLOCK)
+        self.service = StatementService(
+            StatementSettings(**settings),
+            self.views,
+            self.limiter,
+            self.pools,
+            self,
+            CLOCK,
+            CollectorRegistry(),
+        )
+
+    # The driver, the allowance and the evidence.
+    async def connect(self, server, account, timeout_s):
+        database = self.databases[server.database]
+        if database.is_down:
+            return Failure(ConnectionFailedError('refused'))
+        if database.open >= database.limit:
+            return Failure(
+                DatabaseRefusalError(
+                    StatementErrorCode.TOO_MANY_CONNECTIONS.value
+                )
+            )
+        return Success(Session(self, database, account))
+
+    def allowed_connections(self, database):
+        return self.connections
+
+    def database_answered(self, database):
+        pass
+
+    def database_unreachable(self, database):
+        self.reported.append(database)
+
+    def commit(self, request_id):
+        self.commits.append(request_id)
+        primary = self.primary
+        primary.index += 1
+        if self.replicates:
+            for database in self.databases.values():
+                database.term = primary.term
+                database.index = primary.index
+
+    @property
+    def primary(self):
+        return next(one for one in self.databases.values() if one.is_primary)
+
+    def start(self):
+        self.views.change(
+            entries=entries(), groups=(self.state(),), backends=self.backends()
+        )
+        self.tasks.start_soon(self.pools.run, self.views)
+        self.tasks.start_soon(self.service.run)
+
+    def state(self, phase=GroupPhase.STEADY):
+        primary = self.primary.name if phase is GroupPhase.STEADY else None
+        return GroupState(SERVICE, Term(self.primary.term), phase, primary)
+
+    def backends(self):
+        return tuple(
+            BackendServer(
+                SERVICE,
+                one.name,
+                f'centre-{one.name}',
+                '127.0.0.1:1',
+                '127.0.0.1:1',
+                Term(0),
+                Term(0),
+                LogIndex(0),
+                DatabaseRole.PRIMARY
+                if one.is_primary
+                else DatabaseRole.REPLICA,
+                5,
+                100,
+            )
+            for one in self.databases.values()
+        )
+
+    def begin_change(self):
+        """Show that the primary is being changed."""
+        self.views.change(groups=(self.state(GroupPhase.CHANGING),))
+
+    def promote(self, name):
+        """Make another database the primary of a new term."""
+        term = self.primary.term + 1
+        for one in self.databases.values():
+            one.is_primary = one.name == name
+        self.primary.term = term
+        self.views.change(groups=(self.state(),), backends=self.backends())
+
+    async def open(self, route='latest', key='agent-key'):
+        opened = await self.service.open(route, digest_of(key))
+        return opened.unwrap()
+
+
+def entries(keys=KEYS):
+    return (
+        ServiceEntry(name=SERVICE, owner='o', slots=5, connections=30),
+        *(
+            RouteEntry(
+                name=name,
+                owner='o',
+                service=SERVICE,
+                mode=RouteMode.TRANSACTION,
+                max_age_s=age_s,
+                session_policy=SessionPolicy(consistency, 0.6, 0.5, 0.2),
+            )
+            for name, (consistency, age_s) in ROUTES.items()
+        ),
+        RouteEntry(
+            name='open',
+            owner='o',
+            service=SERVICE,
+            mode=RouteMode.TRANSACTION,
+            access=RouteAccess.OPEN,
+            session_policy=SessionPolicy(Consistency.LATEST, 0.6, 0.5, 0.2),
+        ),
+        *(
+            AccountEntry(name=name, owner='o', rate=100.0, burst=100.0)
+            for name in dict.fromkeys(KEYS.values())
+        ),
+        *(
+            KeyEntry(name=digest_of(key), owner='o', account=account)
+            for key, account in keys.items()
+        ),
+    )
+
+
+@asynccontextmanager
+async def new_group(connections=4, **settings):
+    """Run sessions on databases until the end of the block."""
+    async with anyio.create_task_group() as tasks:
+        group = Group(tasks, connections, **settings)
+        group.start()
+        with anyio.fail_after(2):
+            while group.pools.pool('d2') is None:
+                await anyio.lowlevel.checkpoint()
+        yield group
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/libs/statements/tests/test_session.py
@@ -0,0 +1,292 @@
+"""Answers of sessions, statement by statement, and what they promise."""
+
+import anyio
+import pytest
+from returns.result import Failure
+from statement_group import BUSY
+from statement_group import entries
+from statement_group import KEYS
+from statement_group import new_group
+
+from siskinsail_statements import Begin
+from siskinsail_statements import Commit
+from siskinsail_statements import Deallocate
+from siskinsail_statements import digest_of
+from siskinsail_statements import Execute
+from siskinsail_statements import Prepare
+from siskinsail_statements import Query
+from siskinsail_statements import Rollback
+from siskinsail_statements import SetValue
+from siskinsail_statements import Shape
+from siskinsail_statements import StatementErrorCode
+from siskinsail_statements import TransactionState
+from siskinsail_types import GroupPhase
+from siskinsail_types import LeaseState
+
+pytestmark = pytest.mark.anyio
+Code = StatementErrorCode
+READ = Query('READ 1', is_write=False)
+WRITE = Query('WRITE 1 x', is_write=True)
+IDLE, OPEN, FAILED = TransactionState
+
+
+async def run(session, *statements):
+    """Run statements; return (error code or None, state) of each."""
+    found = []
+    for number, statement in enumerate(statements):
+        reply = await session.execute(f'r{number}', statement)
+        code = None if reply.error is None else reply.error.code
+        found.append((code, reply.state))
+    return found
+
+
+@pytest.mark.parametrize(
+    ('statements', 'wanted'),
+    [
+        ([READ], [(None, IDLE)]),
+        ([WRITE], [(None, IDLE)]),
+        (
+            [Begin(), READ, WRITE, Commit()],
+            [(None, OPEN), (None, OPEN), (None, OPEN), (None, IDLE)],
+        ),
+        ([Begin(), Commit()], [(None, OPEN), (None, IDLE)]),
+        ([Begin(), WRITE, Rollback()], [(None, OPEN)] * 2 + [(None, IDLE)]),
+        ([Begin(), Rollback()], [(None, OPEN), (None, IDLE)]),
+        ([Begin(), Begin()], [(None, OPEN), (Code.MALFORMED, OPEN)]),
+        ([Commit()], [(Code.MALFORMED, IDLE)]),
+        ([Rollback()], [(Code.MALFORMED, IDLE)]),
+        ([SetValue('a', 'b')], [(None, IDLE)]),
+        ([Execute('s', '1')], [(Code.UNKNOWN_PREPARED, IDLE)]),
+        ([Deallocate('s')], [(Code.UNKNOWN_PREPARED, IDLE)]),
+        (
+            [
+                Prepare('s', Shape('q', is_write=True)),
+                Execute('s', '1'),
+                Deallocate('s'),
+                Execute('s', '1'),
+            ],
+            [(None, IDLE)] * 3 + [(Code.UNKNOWN_PREPARED, IDLE)],
+        ),
+        # A failed transaction runs nothing more, and its commit does not
+        # look like a success.
+        (
+            [Begin(), Execute('s', '1'), READ, Commit()],
+            [
+                (None, OPEN),
+                (Code.UNKNOWN_PREPARED, FAILED),
+                (Code.MALFORMED, FAILED),
+                (Code.ABORTED, IDLE),
+            ],
+        ),
+        (
+            [Begin(), Execute('s', '1'), Rollback(), READ],
+            [
+                (None, OPEN),
+                (Code.UNKNOWN_PREPARED, FAILED),
+                (None, IDLE),
+                (None, IDLE),
+            ],
+        ),
+    ],
+)
+async def test_answers_and_states(statements, wanted):
+    async with new_group() as group:
+        session = await group.open()
+        assert await run(session, *statements) == wanted
+
+
+@pytest.mark.parametrize(
+    ('statements', 'answers', 'wanted', 'commits'),
+    [
+        # Sent and not answered: it may have run, and is not sent again.
+        ([WRITE], ['lost'], (Code.IN_DOUBT, IDLE), ['r0']),
+        ([WRITE], [BUSY], (None, IDLE), ['r0']),
+        ([WRITE], [Code.FAILED], (Code.FAILED, IDLE), []),
+        ([READ], ['lost'], (None, IDLE), []),
+        ([READ], [BUSY], (None, IDLE), []),
+        # Nothing of a transaction is kept that was not committed.
+        ([Begin(), WRITE], ['lost'], (Code.ABORTED, FAILED), []),
+        ([Begin(), WRITE], [BUSY], (BUSY, FAILED), []),
+        (
+            [Begin(), WRITE, Commit()],
+            [None, 'lost'],
+            (Code.IN_DOUBT, IDLE),
+            ['r2'],
+        ),
+        ([Begin(), READ, Commit()], [None, 'lost'], (Code.ABORTED, IDLE), []),
+        ([Begin(), WRITE, Commit()], [None, BUSY], (BUSY, IDLE), []),
+    ],
+)
+async def test_refusals_that_promise_are_true(
+    statements, answers, wanted, commits
+):
+    async with new_group() as group:
+        group.databases['d0'].answers = list(answers)
+        session = await group.open()
+        found = await run(session, *statements)
+        assert found[-1] == wanted
+        assert group.commits == commits
+
+
+async def test_statements_run_with_the_values_of_their_session():
+    # One connection serves two sessions of an account in turns.
+    async with new_group(connections=1) as group:
+        first, second = await group.open(), await group.open()
+        shape = Shape('q', is_write=False)
+        await run(first, SetValue('tz', 'a'), SetValue('lang', 'b'))
+        await run(second, SetValue('tz', 'c'), Prepare('mine', shape))
+        for session in (first, second, first, second, second):
+            assert await run(session, READ) == [(None, IDLE)]
+        await run(second, Execute('mine', '7'))
+        wanted = [{'tz': 'a', 'lang': 'b'}, {'tz': 'c'}]
+        order = [0, 1, 0, 1, 1, 1]
+        assert [one.values for one in group.runs] == [
+            wanted[number] for number in order
+        ]
+        assert len({one.connection for one in group.runs}) == 1
+        assert group.runs[-1].text == 'q 7'
+
+
+async def test_a_connection_serves_one_client_account():
+    async with new_group(connections=1) as group:
+        agents = await group.open()
+        depots = await group.open(key='depot-key')
+        for session in (agents, depots, agents):
+            assert await run(session, READ) == [(None, IDLE)]
+        assert [one.account for one in group.runs] == [
+            'agents',
+            'depots',
+            'agents',
+        ]
+        assert group.databases['d0'].open <= 1
+
+
+async def test_transactions_never_share_a_connection():
+    async with new_group(connections=2) as group:
+        first, second = await group.open(), await group.open()
+        for session in (first, second):
+            await run(session, Begin(), WRITE)
+        await run(first, READ)
+        await run(second, READ)
+        held = [one.connection for one in group.runs]
+        assert held[0] == held[2] != held[1] == held[3]
+        # A third waits for neither of them and is told so in time.
+        third = await group.open()
+        started_s = anyio.current_time()
+        assert await run(third, READ) == [(BUSY, IDLE)]
+        assert anyio.current_time() - started_s < 1.0
+        await run(first, Commit())
+        assert await run(third, READ) == [(None, IDLE)]
+
+
+async def test_what_a_caller_leaves_is_rolled_back():
+    async with new_group(connections=1) as group:
+        session = await group.open()
+        await run(session, Begin(), WRITE)
+        group.service.close(session)
+        other = await group.open()
+        assert await run(other, READ) == [(None, IDLE)]
+        assert group.commits == []
+        assert not group.runs[-1].in_transaction
+
+
+async def test_a_withdrawn_key_ends_an_open_transaction():
+    async with new_group() as group:
+        session = await group.open()
+        await run(session, Begin(), WRITE)
+        kept = {'depot-key': KEYS['depot-key']}
+        group.views.change(entries=entries(kept))
+        assert await run(session, WRITE) == [(Code.UNAUTHORIZED, FAILED)]
+        assert await run(session, Commit()) == [(Code.ABORTED, IDLE)]
+        assert await run(session, READ) == [(Code.UNAUTHORIZED, IDLE)]
+        assert group.commits == []
+
+
+@pytest.mark.parametrize(
+    ('route', 'key', 'code'),
+    [
+        ('latest', 'agent-key', None),
+        ('latest', 'other-key', Code.UNAUTHORIZED),
+        ('nothing', 'agent-key', Code.UNKNOWN_DATABASE),
+        ('open', 'other-key', None),
+    ],
+)
+async def test_who_may_open_a_session(route, key, code):
+    async with new_group() as group:
+        opened = await group.service.open(route, digest_of(key))
+        failed = isinstance(opened, Failure)
+        assert (opened.failure().code if failed else None) == code
+
+
+async def test_an_operation_takes_one_token():
+    async with new_group() as group:
+        session = await group.open()
+        await run(session, READ, Begin(), READ, WRITE, Commit())
+        assert group.limiter.taken == 2
+        group.limiter.over.add('agents')
+        reply = await session.execute('r', READ)
+        assert (reply.error.code, reply.error.retry_after_s) == (BUSY, 0.5)
+
+
+@pytest.mark.parametrize(
+    ('gap_s', 'waits'),
+    [
+        # A change of the control leader ends soon; a long cut does not.
+        (2.1, True),
+        (30.0, False),
+    ],
+)
+async def test_callers_wait_only_for_a_lease_that_may_come(gap_s, waits):
+    async with new_group(lease_wait_s=1.5) as group:
+        session = await group.open()
+        group.views.lease_state = LeaseState.LAPSED
+        group.views.lease_gap_s = gap_s
+
+        async def regain():
+            await anyio.sleep(0.2)
+            group.views.lease_state = LeaseState.HELD
+            group.views.lease_gap_s = 0.0
+            group.views.change()
+
+        group.tasks.start_soon(regain)
+        code = None if waits else BUSY
+        assert await run(session, READ) == [(code, IDLE)]
+
+
+async def test_statements_wait_for_a_change_of_primary():
+    async with new_group() as group:
+        session = await group.open()
+        group.views.change(groups=(group.state(GroupPhase.CHANGING),))
+
+        async def finish():
+            await anyio.sleep(0.1)
+            group.promote('d1')
+
+        group.tasks.start_soon(finish)
+        assert await run(session, WRITE, READ) == [(None, IDLE)] * 2
+        assert [one.database for one in group.runs] == ['d1', 'd1']
+
+
+async def test_a_refused_write_runs_once_on_the_next_primary():
+    # The database has lost the lead before this process knows.
+    async with new_group() as group:
+        session = await group.open()
+        group.databases['d0'].is_primary = False
+        group.databases['d2'].is_primary = True
+
+        async def learn():
+            await anyio.sleep(0.1)
+            group.promote('d2')
+
+        group.tasks.start_soon(learn)
+        assert await run(session, WRITE) == [(None, IDLE)]
+        assert [one.database for one in group.runs] == ['d2']
+
+
+async def test_a_transaction_ends_with_the_lead_of_its_database():
+    async with new_group() as group:
+        session = await group.open()
+        await run(session, Begin(), WRITE)
+        group.promote('d1')
+        assert await run(session, READ) == [(Code.READ_ONLY, FAILED)]
+        assert group.commits == []
