Replace control members that are lost for good by others elsewhere

A member that announces itself and is in no membership is a candidate. When a voter has been silent for 3 s, or voters are missing, the leader adds the candidate as a learner, lets it vote once it has everything, and only then removes the lost member. Daemons learn members that others name as leader.

--- a/libs/consensus/siskinsail_consensus/_election.py
+++ b/libs/consensus/siskinsail_consensus/_election.py
@@ -12,6 +12,7 @@
 from ._peers import call_peer
 from ._peers import is_from
 from ._peers import Peer
+from ._peers import Peers
 from ._peers import with_fields
 from ._state import ReplicaState
 from ._state import Role
@@ -24,14 +25,14 @@
     ----------
     state : ReplicaState
         State of this replica.
-    peers : tuple of Peer
-        The other configured members.
+    peers : Peers
+        The other members.
     leader : Leader
         What a leader does.
     """
 
     def __init__(
-        self, state: ReplicaState, peers: tuple[Peer, ...], leader: Leader
+        self, state: ReplicaState, peers: Peers, leader: Leader
     ) -> None:
         self._state = state
         self._peers = peers
@@ -127,6 +128,7 @@
         state = self._state
         journal = state.journal
         membership = state.membership
+        self._peers.learn(member.name for member in membership.members)
         request = with_fields(
             state.message(),
             term=term,
--- a/libs/consensus/siskinsail_consensus/_follower.py
+++ b/libs/consensus/siskinsail_consensus/_follower.py
@@ -104,10 +104,19 @@
         return _answer(state, accepted=is_accepted)
 
     async def announce(self, request: Message) -> Message:
-        """Tell an empty member what this one knows of the cluster."""
-        answer = self._state.message()
+        """Tell a member without a leader what this one knows.
+
+        One that is not in the membership is a candidate for the place of a
+        member that is lost.
+        """
+        state = self._state
+        membership = state.membership
+        if request.sender and membership.get(request.sender) is None:
+            state.note_candidate(request.sender, request.sender_disk)
         return msgspec.structs.replace(
-            answer, data=self._state.journal.metadata.founding
+            state.message(),
+            data=state.journal.metadata.founding,
+            leader=state.leader_id or '',
         )
 
     def _is_meant(self, request: Message) -> bool:
--- a/libs/consensus/siskinsail_consensus/_formation.py
+++ b/libs/consensus/siskinsail_consensus/_formation.py
@@ -3,6 +3,7 @@
 import anyio
 
 from siskinsail_types import SiskinsailError
+from siskinsail_types import VmId
 
 from ._membership import Member
 from ._membership import Membership
@@ -10,7 +11,9 @@
 from ._messages import Message
 from ._peers import call_peer
 from ._peers import Peer
+from ._peers import Peers
 from ._state import ReplicaState
+from ._state import Role
 
 
 class Formation:
@@ -20,11 +23,11 @@
     ----------
     state : ReplicaState
         State of this replica.
-    peers : tuple of Peer
-        The other configured members.
+    peers : Peers
+        The other members.
     """
 
-    def __init__(self, state: ReplicaState, peers: tuple[Peer, ...]) -> None:
+    def __init__(self, state: ReplicaState, peers: Peers) -> None:
         self._state = state
         self._peers = peers
 
@@ -48,6 +51,24 @@
             else:
                 await anyio.sleep(state.settings.announce_s)
 
+    async def announce(self) -> None:
+        """Announce this member while it hears no leader, until cancelled.
+
+        A member that is new, or whose place another one has taken, becomes
+        a candidate in this way.
+        """
+        state = self._state
+        while True:
+            await anyio.sleep(state.settings.election_min_s)
+            silent_s = state.clock.now_s() - state.heard_s
+            if (
+                state.journal.metadata.cluster_id
+                and silent_s > state.settings.election_max_s
+                and state.role is Role.FOLLOWER
+            ):
+                answers = await self._ask_all()
+                self._peers.learn(VmId(one.leader) for one in answers)
+
     def _is_mine_to_form(self, answers: list[Message]) -> bool:
         settings = self._state.settings
         first = min(member.name for member in settings.members)
--- a/libs/consensus/siskinsail_consensus/_leader.py
+++ b/libs/consensus/siskinsail_consensus/_leader.py
@@ -11,14 +11,17 @@
 from siskinsail_journal import Record
 from siskinsail_types import DiskId
 from siskinsail_types import SiskinsailError
+from siskinsail_types import VmId
 
 from ._errors import NotLeaderError
 from ._membership import Member
+from ._membership import Membership
 from ._messages import HAND_OVER
 from ._messages import HEARTBEAT
 from ._peers import call_peer
 from ._peers import is_from
 from ._peers import Peer
+from ._peers import Peers
 from ._replication import Replication
 from ._state import COMMAND
 from ._state import MEMBERSHIP
@@ -38,11 +41,11 @@
     ----------
     state : ReplicaState
         State of this replica.
-    peers : tuple of Peer
-        The other configured members.
+    peers : Peers
+        The other members.
     """
 
-    def __init__(self, state: ReplicaState, peers: tuple[Peer, ...]) -> None:
+    def __init__(self, state: ReplicaState, peers: Peers) -> None:
         self._state = state
         self._peers = peers
         self._replication = Replication(state, peers)
@@ -54,6 +57,7 @@
         self._first_index = 0
         self._lease_start_s = float('-inf')
         self._is_handing_over = False
+        self._started_s = 0.0
 
     @property
     def is_established(self) -> bool:
@@ -94,9 +98,7 @@
         self._start()
         async with anyio.create_task_group() as tasks:
             state.leading = tasks.cancel_scope
-            for peer in self._peers:
-                tasks.start_soon(self._replication.replicate, peer)
-                tasks.start_soon(self._send_heartbeats, peer)
+            tasks.start_soon(self._serve_peers, tasks)
             tasks.start_soon(self._append_proposals)
             tasks.start_soon(self._step_down_without_majority)
             tasks.start_soon(self._replace_disks)
@@ -141,6 +143,7 @@
         state.leading_term = state.term
         state.leader_id = state.settings.vm_id
         self._first_index = state.journal.last_index + 1
+        self._started_s = state.clock.now_s()
         self._lease_start_s = float('-inf')
         for peer in self._peers:
             peer.start_term(self._first_index)
@@ -195,6 +198,19 @@
                 )
         self._replication.advance_commit()
 
+    async def _serve_peers(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Replicate to each member, those that are added later too."""
+        served: set[VmId] = set()
+        while True:
+            membership = self._state.membership
+            self._peers.learn(member.name for member in membership.members)
+            for peer in self._peers:
+                if peer.name not in served:
+                    served.add(peer.name)
+                    tasks.start_soon(self._replication.replicate, peer)
+                    tasks.start_soon(self._send_heartbeats, peer)
+            await anyio.sleep(self._state.settings.heartbeat_s)
+
     async def _send_heartbeats(self, peer: Peer) -> None:
         async with anyio.create_task_group() as tasks:
             while True:
@@ -267,12 +283,50 @@
                 or state.membership_index > state.commit_index
             ):
                 continue
-            changed = self._next_change()
-            if changed is not None:
-                membership = state.membership.with_member(changed)
+            membership = self._next_membership()
+            if membership is not None:
                 entry = MEMBERSHIP + membership.encode()
                 await self._append_entry(entry)
 
+    def _next_membership(self) -> Membership | None:
+        """Return the next membership, one member apart from the present."""
+        membership = self._state.membership
+        changed = self._next_change()
+        if changed is not None:
+            return membership.with_member(changed)
+        absent = [m for m in membership.members if self._is_absent(m)]
+        candidate = self._known_candidate()
+        count = len(membership.members)
+        target = self._state.settings.target_voters or self._state.founders
+        learner = next((m for m in absent if not m.is_voter), None)
+        if learner is not None and (count > target or candidate is not None):
+            return membership.without(learner.name)
+        if not all(m.is_voter for m in membership.members):
+            return None
+        lost = next((m for m in absent if self._can_spare(m)), None)
+        if count > target and lost is not None:
+            return membership.without(lost.name)
+        if candidate is not None and (count < target or lost is not None):
+            return membership.with_added(candidate)
+        return None
+
+    def _known_candidate(self) -> Member | None:
+        """Return a candidate whose address is known."""
+        candidate = self._state.candidate()
+        if candidate is None:
+            return None
+        self._peers.learn((candidate.name,))
+        return candidate if self._peers.get(candidate.name) else None
+
+    def _is_absent(self, member: Member) -> bool:
+        """Tell whether a member has been silent for long."""
+        peer = self._peers.get(member.name)
+        if peer is None:
+            return False
+        seen_s = max(peer.seen_s, self._started_s)
+        silent_s = self._state.clock.now_s() - seen_s
+        return silent_s >= self._state.settings.replace_after_s
+
     def _next_change(self) -> Member | None:
         membership = self._state.membership
         has_learner = not all(m.is_voter for m in membership.members)
--- a/libs/consensus/siskinsail_consensus/_membership.py
+++ b/libs/consensus/siskinsail_consensus/_membership.py
@@ -48,6 +48,14 @@
             )
         )
 
+    def with_added(self, added: Member) -> 'Membership':
+        """Return the membership with one more member."""
+        return Membership((*self.members, added))
+
+    def without(self, name: VmId) -> 'Membership':
+        """Return the membership without the member of that name."""
+        return Membership(tuple(m for m in self.members if m.name != name))
+
     def encode(self) -> bytes:
         """Return the stored form."""
         return msgspec.msgpack.encode(self)
--- a/libs/consensus/siskinsail_consensus/_messages.py
+++ b/libs/consensus/siskinsail_consensus/_messages.py
@@ -40,6 +40,7 @@
     offset: int = 0
     is_last: bool = False
     silence_s: float = 0.0
+    leader: str = ''
 
     def encode(self) -> bytes:
         """Return the Cap'n Proto bytes."""
@@ -59,6 +60,7 @@
             offset=self.offset,
             isLast=self.is_last,
             silenceS=self.silence_s,
+            leader=self.leader,
         )
         entries = message.init('entries', len(self.entries))
         for position, record in enumerate(self.entries):
@@ -105,4 +107,5 @@
         offset=int(message.offset),
         is_last=bool(message.isLast),
         silence_s=float(message.silenceS),
+        leader=str(message.leader),
     )
--- a/libs/consensus/siskinsail_consensus/_peers.py
+++ b/libs/consensus/siskinsail_consensus/_peers.py
@@ -1,13 +1,21 @@
 """What a leader knows of another member, and calls to it."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import anyio
+import anyio.abc
 import msgspec
 
+from siskinsail_net import Network
 from siskinsail_net import PeerClient
 from siskinsail_types import DiskId
 from siskinsail_types import ProtocolError
+from siskinsail_types import Secret
 from siskinsail_types import VmId
 
 from ._messages import Message
+from ._settings import ConsensusSettings
 from ._settings import MemberAddress
 from ._state import ReplicaState
 
@@ -52,6 +60,67 @@
             self.answered_round = 0
 
 
+class Peers:
+    """The other members that this replica calls; they may become more.
+
+    Parameters
+    ----------
+    settings : ConsensusSettings
+        The configured members, and where others are.
+    network : Network
+        How connections are made.
+    secret : Secret
+        The fleet secret.
+    """
+
+    def __init__(
+        self, settings: ConsensusSettings, network: Network, secret: Secret
+    ) -> None:
+        self._settings = settings
+        self._network = network
+        self._secret = secret
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._peers: dict[VmId, Peer] = {}
+        for member in settings.members:
+            self._add(member)
+
+    def __iter__(self) -> Iterator[Peer]:
+        return iter(tuple(self._peers.values()))
+
+    def get(self, name: VmId) -> Peer | None:
+        """Return the peer of that name."""
+        return self._peers.get(name)
+
+    def learn(self, names: Iterable[VmId]) -> None:
+        """Take further members whose addresses can be found."""
+        for name in names:
+            if name and name not in self._peers:
+                address = self._settings.resolve(name)
+                if address is not None:
+                    self._add(MemberAddress(name, address))
+
+    async def run(self) -> None:
+        """Keep the connections up until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            try:
+                for peer in self:
+                    tasks.start_soon(peer.client.run)
+                await anyio.sleep_forever()
+            finally:
+                self._tasks = None
+
+    def _add(self, member: MemberAddress) -> None:
+        if member.name == self._settings.vm_id:
+            return
+        client = PeerClient(
+            self._network, member.address, self._secret, self._settings.vm_id
+        )
+        self._peers[member.name] = Peer(member, client)
+        if self._tasks is not None:
+            self._tasks.start_soon(client.run)
+
+
 async def call_peer(
     state: ReplicaState,
     peer: Peer,
--- a/libs/consensus/siskinsail_consensus/_replica.py
+++ b/libs/consensus/siskinsail_consensus/_replica.py
@@ -15,7 +15,6 @@
 from siskinsail_journal import JournalError
 from siskinsail_journal import JournalSettings
 from siskinsail_net import Network
-from siskinsail_net import PeerClient
 from siskinsail_net import PeerServer
 from siskinsail_types import Address
 from siskinsail_types import Clock
@@ -38,6 +37,7 @@
 from ._leader import Leader
 from ._messages import Message
 from ._peers import Peer
+from ._peers import Peers
 from ._settings import ConsensusSettings
 from ._state import Applied
 from ._state import Proposal
@@ -87,8 +87,10 @@
     changes of one member at a time [1]_. As in Raft, the latest membership
     in the log decides whose votes count, committed or not; the next change
     waits until it is committed, and majorities of any two memberships in a
-    row have a member in common. Only disks are replaced: adding and removing
-    names is not supported.
+    row have a member in common. A lost disk is replaced by that of the same
+    member. Where addresses of other members can be found, one that announces
+    itself is added as a learner, becomes a voter once it has everything, and
+    only then the lost member is removed.
 
     References
     ----------
@@ -109,14 +111,7 @@
         self._clock = clock
         self._state: ReplicaState | None = None
         self._leader: Leader | None = None
-        self._peers = tuple(
-            Peer(
-                member,
-                PeerClient(network, member.address, secret, settings.vm_id),
-            )
-            for member in settings.members
-            if member.name != settings.vm_id
-        )
+        self._peers = Peers(settings, network, secret)
         self._follower: Follower | None = None
         for method, name in _HANDLERS.items():
             server.register(method, self._handler(name))
@@ -165,7 +160,8 @@
         return tuple(
             MemberStatus(
                 member.name,
-                addresses.get(member.name),
+                addresses.get(member.name)
+                or self._settings.resolve(member.name),
                 member.disk_id,
                 member.is_voter,
                 self._match_index(state, peers.get(member.name)),
@@ -290,10 +286,11 @@
         return peer.match_index if self.is_leader else None
 
     async def _run_tasks(self, state: ReplicaState, leader: Leader) -> None:
+        formation = Formation(state, self._peers)
         async with anyio.create_task_group() as tasks:
-            for peer in self._peers:
-                tasks.start_soon(peer.client.run)
-            tasks.start_soon(Formation(state, self._peers).run)
+            tasks.start_soon(self._peers.run)
+            tasks.start_soon(formation.run)
+            tasks.start_soon(formation.announce)
             tasks.start_soon(Elections(state, self._peers, leader).run)
             tasks.start_soon(state.apply_committed)
             await state.changed.wait_for(lambda: state.failure is not None)
--- a/libs/consensus/siskinsail_consensus/_replication.py
+++ b/libs/consensus/siskinsail_consensus/_replication.py
@@ -10,6 +10,7 @@
 from ._peers import call_peer
 from ._peers import is_from
 from ._peers import Peer
+from ._peers import Peers
 from ._peers import with_fields
 from ._state import ReplicaState
 from ._state import Role
@@ -22,11 +23,11 @@
     ----------
     state : ReplicaState
         State of this replica.
-    peers : tuple of Peer
-        The other configured members.
+    peers : Peers
+        The other members.
     """
 
-    def __init__(self, state: ReplicaState, peers: tuple[Peer, ...]) -> None:
+    def __init__(self, state: ReplicaState, peers: Peers) -> None:
         self._state = state
         self._peers = peers
 
--- a/libs/consensus/siskinsail_consensus/_settings.py
+++ b/libs/consensus/siskinsail_consensus/_settings.py
@@ -25,6 +25,10 @@
     return secrets.token_hex(16)
 
 
+def _no_address(name: VmId) -> Address | None:
+    return None
+
+
 @dataclass(frozen=True)
 class ConsensusSettings:
     """Members, data folder, timers and limits.
@@ -64,6 +68,14 @@
         Proposals that may wait to be written.
     max_snapshot_bytes : int
         Largest snapshot accepted from a leader.
+    resolve : callable
+        Returns the peer address of a member that ``members`` does not name,
+        None where there is none. With it, a member that is lost for good is
+        replaced by one at another address that announces itself.
+    target_voters : int or None
+        Voters wanted; those of the first membership by default.
+    replace_after_s : float
+        Silence of a voter after which another member may take its place.
     may_form : bool
         Whether a new cluster may be formed; False once one exists, so that
         members that lost their disks wait for the others.
@@ -88,6 +100,9 @@
     command_bytes: int = 1024 * 1024
     max_waiting: int = 2000
     max_snapshot_bytes: int = 256 * 1024 * 1024
+    resolve: Callable[[VmId], Address | None] = _no_address
+    target_voters: int | None = None
+    replace_after_s: float = 3.0
     may_form: bool = True
     disk: Disk = field(default_factory=FileDisk)
     random: Random = field(default_factory=Random)
--- a/libs/consensus/siskinsail_consensus/_state.py
+++ b/libs/consensus/siskinsail_consensus/_state.py
@@ -26,6 +26,7 @@
 from ._errors import NotLeaderError
 from ._errors import ProposalOutcomeUnknownError
 from ._errors import ProposeError
+from ._membership import Member
 from ._membership import Membership
 from ._messages import Message
 from ._settings import ConsensusSettings
@@ -34,6 +35,7 @@
 COMMAND = b'\x01'
 MEMBERSHIP = b'\x02'
 NO_DISK = DiskId('')
+MAX_CANDIDATES = 64
 _APPLIED_IN_A_ROW = 64
 
 
@@ -145,6 +147,9 @@
         self.heard_s = clock.now_s()
         self.timer_s = self.heard_s
         self.earlier_lease_end_s = math.inf
+        # Disks of members that would take the place of a lost one, and when
+        # they announced themselves.
+        self._candidates: dict[VmId, tuple[DiskId, float]] = {}
         self.deferral = Deferral(settings.candidate_defer_s, clock)
         self.commit_index = 0
         self.applied_index = 0
@@ -183,11 +188,31 @@
             if index <= self.commit_index
         )
 
+    @property
+    def founders(self) -> int:
+        """Number of members that formed the cluster."""
+        founding = self.journal.metadata.founding
+        return len(Membership.decode(founding).members)
+
     @property
     def is_voter(self) -> bool:
         """Whether this disk has a vote."""
         return self.disk_id in self.membership.voters()
 
+    def note_candidate(self, name: VmId, disk_id: DiskId) -> None:
+        """Take note of a member that would take the place of a lost one."""
+        if len(self._candidates) >= MAX_CANDIDATES:
+            self._candidates.clear()
+        self._candidates[name] = (disk_id, self.clock.now_s())
+
+    def candidate(self) -> Member | None:
+        """Return a member that announced itself lately, as a learner."""
+        limit_s = self.clock.now_s() - self.settings.election_max_s
+        for name, (disk_id, seen_s) in sorted(self._candidates.items()):
+            if seen_s > limit_s and self.membership.get(name) is None:
+                return Member(name, disk_id, False)
+        return None
+
     def is_leading(self, term: int) -> bool:
         """Tell whether this replica leads in ``term``."""
         return self.role is Role.LEADER and self._term == term
--- a/libs/consensus/siskinsail_consensus/consensus.capnp
+++ b/libs/consensus/siskinsail_consensus/consensus.capnp
@@ -31,4 +31,5 @@
   isLast @14 :Bool;
 
   silenceS @15 :Float64;   # answer to vote: time since a leader was heard
+  leader @16 :Text;        # answer to announce: the leader last heard of
 }
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -29,6 +29,7 @@
 from siskinsail_types import VmId
 
 from ._allowances import Allowances
+from ._leader_finder import _no_address
 from ._leader_finder import LeaderFinder
 from ._leader_link import forward_request
 from ._leader_link import RETRY_DELAY_S
@@ -92,6 +93,8 @@
         Borrower of tokens.
     metrics : ControlMetrics
         Where the view version and sent bytes are shown.
+    resolve : callable
+        Returns the peer address of a member that is not among them.
     """
 
     def __init__(
@@ -104,13 +107,16 @@
         clock: Clock,
         borrower: TokenBorrower,
         metrics: ControlMetrics,
+        resolve: Callable[[VmId], Address | None] = _no_address,
     ) -> None:
         self._settings = settings
         self._identity = identity
         self._clock = clock
         self._borrower = borrower
         self._metrics = metrics
-        self._finder = LeaderFinder(members, network, secret, identity.vm)
+        self._finder = LeaderFinder(
+            members, network, secret, identity.vm, resolve
+        )
         self._view = EMPTY_VIEW
         self._view_changed = anyio.Event()
         self._lease_end_s = -math.inf
--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -1,5 +1,6 @@
 """Connections of a daemon to the control members."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 
 import anyio
@@ -17,6 +18,10 @@
 MAX_CALLS_TO_NAMED = 6
 
 
+def _no_address(member: VmId) -> Address | None:
+    return None
+
+
 class LeaderFinder:
     """Knows which control member to call.
 
@@ -30,6 +35,9 @@
         The fleet secret.
     vm : VmId
         Name of this entry VM.
+    resolve : callable
+        Returns the peer address of a member that was named and is not
+        known, None where there is none.
     """
 
     def __init__(
@@ -38,7 +46,9 @@
         network: Network,
         secret: Secret,
         vm: VmId,
+        resolve: Callable[[VmId], Address | None] = _no_address,
     ) -> None:
+        self._resolve = resolve
         self._network = network
         self._secret = secret
         self._vm = vm
@@ -136,6 +146,7 @@
         if self.client is not client:
             return False
         named = VmId(hint)
+        self._learn(named)
         if (
             named in self._clients
             and named != self._silent
@@ -153,6 +164,14 @@
         self._choose_next()
         return False
 
+    def _learn(self, named: VmId) -> None:
+        """Take a member that another one named as leader."""
+        if not named or named in self._clients:
+            return
+        address = self._resolve(named)
+        if address is not None:
+            self.add({named: address})
+
     def _choose_next(self) -> None:
         self._leader = None
         self._calls_to_named = 0
--- a/libs/control/siskinsail_control/_leader_link.py
+++ b/libs/control/siskinsail_control/_leader_link.py
@@ -1,5 +1,6 @@
 """Calls to the control leader that need no daemon lease."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import math
 
@@ -14,6 +15,7 @@
 from siskinsail_types import TransportError
 from siskinsail_types import VmId
 
+from ._leader_finder import _no_address
 from ._leader_finder import LeaderFinder
 from ._messages import decode_message
 from ._messages import encode_message
@@ -90,6 +92,8 @@
         Name of this process.
     attempt_s : float
         Time limit of one call, in seconds.
+    resolve : callable
+        Returns the peer address of a member that is not among them.
     """
 
     def __init__(
@@ -100,8 +104,9 @@
         vm: VmId,
         clock: Clock,
         attempt_s: float,
+        resolve: Callable[[VmId], Address | None] = _no_address,
     ) -> None:
-        self._finder = LeaderFinder(members, network, secret, vm)
+        self._finder = LeaderFinder(members, network, secret, vm, resolve)
         self._clock = clock
         self._attempt_s = attempt_s
 
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -189,7 +189,12 @@
         return self._context.is_active
 
     def _note_restart(self, key: DaemonKey) -> None:
-        """Take note that the earlier processes of a VM have ended."""
+        """Take note that the earlier processes of a VM have ended.
+
+        A process listens on the addresses of its VM, so it starts only when
+        the one before has ended, and with it its lease, tokens and
+        connections.
+        """
         vm, incarnation = key
         for other in self._context.state.active_daemons:
             if other[0] == vm and other[1] != incarnation:
--- a/libs/net/siskinsail_net/_peer_frame.py
+++ b/libs/net/siskinsail_net/_peer_frame.py
@@ -64,11 +64,11 @@
 _KINDS = {kind.value: kind for kind in FrameKind}
 
 
-def encode_frame(frame: Frame) -> bytes:
+def encode_frame(frame: Frame, version: int = PROTOCOL_VERSION) -> bytes:
     """Return the bytes of a frame with its length in front."""
     builder = _schema.Envelope.new_message()
     put = builder._set_by_field
-    put(_VERSION, PROTOCOL_VERSION)
+    put(_VERSION, version)
     put(_KIND, frame.kind.value)
     put(_REQUEST_ID, frame.request_id)
     put(_PAYLOAD, frame.payload)
