--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,15 @@
-.PHONY: demo test bench capacity soak check-model check-proofs lint format setup clean
+.PHONY: demo test bench capacity soak check-model check-proofs platform-check lint \
+	format setup clean
 
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := types settings telemetry net journal consensus catalogue limits \
 	sessions backend control proxy statements daemon cli model bench
+FOLDERS := $(foreach p,$(PACKAGES),libs/$(p)) platform
 STAMP := $(VENV)/.installed
 MANIFESTS := constraints.txt requirements-dev.txt \
-	$(foreach p,$(PACKAGES),libs/$(p)/pyproject.toml)
+	$(foreach f,$(FOLDERS),$(f)/pyproject.toml)
 
 setup: $(STAMP)
 
@@ -17,14 +19,19 @@
 		hatchling editables
 	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt \
 		--no-build-isolation -r requirements-dev.txt \
-		$(foreach p,$(PACKAGES),-e libs/$(p))
+		$(foreach f,$(FOLDERS),-e $(f))
 	touch $(STAMP)
 
 demo: $(STAMP)
 	$(BIN)/siskinsail-bench demo
 
+# Tests of real processes wait more than they compute, so they run side by side.
+TEST_WORKERS ?= 5
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist worksteal
+
+platform-check: $(STAMP)
+	$(BIN)/python -m pytest platform/tests
 
 JOBS ?= 1
 check-proofs: $(STAMP)
@@ -46,7 +53,8 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy $(foreach p,$(PACKAGES),libs/$(p)/siskinsail_$(p))
+	$(BIN)/mypy $(foreach p,$(PACKAGES),libs/$(p)/siskinsail_$(p)) \
+		platform/siskinsail_platform
 	$(BIN)/lint-imports
 
 format: $(STAMP)
