--- /dev/null
+++ b/libs/catalogue/tests/test_configuration.py
@@ -0,0 +1,127 @@
+"""Guards whole configurations whose highest version is in force."""
+
+import pytest
+
+from siskinsail_catalogue import AccountEntry
+from siskinsail_catalogue import CatalogueState
+from siskinsail_catalogue import ChangeError
+from siskinsail_catalogue import Configuration
+from siskinsail_catalogue import DataCentreEntry
+from siskinsail_catalogue import decode_configuration
+from siskinsail_catalogue import encode_configuration
+from siskinsail_catalogue import KeyEntry
+from siskinsail_types import Placement
+from siskinsail_types import ProtocolError
+
+
+def _account(name: str = 'a', rate: float = 5.0) -> AccountEntry:
+    return AccountEntry(owner='o', name=name, rate=rate, burst=10.0)
+
+
+def _configuration(version: int, *entries) -> Configuration:
+    return Configuration(version, entries, b'document %d' % version)
+
+
+def _rates(state: CatalogueState) -> dict[str, float]:
+    return {
+        entry.name: entry.rate
+        for entry in state.entries
+        if isinstance(entry, AccountEntry)
+    }
+
+
+@pytest.mark.parametrize('order', [(1, 2, 3), (3, 2, 1), (2, 3, 1, 3, 2)])
+def test_the_highest_version_is_in_force_in_whatever_order(order):
+    # Fails if a call that arrives late puts an older configuration back.
+    state = CatalogueState()
+    for version in order:
+        entry = _account(rate=float(version))
+        answer = state.replace(_configuration(version, entry), 1.0)
+        assert answer.error is None
+    assert state.configuration_version == 3
+    assert state.document == b'document 3'
+    assert _rates(state) == {'a': 3.0}
+
+
+def test_a_repeat_and_an_equal_entry_change_nothing():
+    state = CatalogueState()
+    state.replace(_configuration(1, _account('a'), _account('b')), 1.0)
+    version = state.version
+    state.replace(_configuration(1, _account('c')), 1.0)
+    assert state.version == version
+    state.replace(_configuration(2, _account('b'), _account('a')), 1.0)
+    # Daemons learn of no change, but the document is that of version 2.
+    assert state.version == version
+    assert state.document == b'document 2'
+
+
+def test_what_a_configuration_leaves_out_is_deleted():
+    state = CatalogueState()
+    state.replace(_configuration(1, _account('a'), _account('b')), 1.0)
+    state.replace(_configuration(2, _account('b', 6.0)), 2.0)
+    assert _rates(state) == {'b': 6.0}
+
+
+def test_a_data_centre_stays_out_under_a_new_configuration():
+    # Fails if a configuration brings back what an operator took out.
+    state = CatalogueState()
+    state.place('dc1', Placement.OUT, 1.0)
+    before = state.version
+    state.place('dc1', Placement.OUT, 1.0)
+    assert state.version == before
+    state.replace(_configuration(1, _account()), 2.0)
+    (centre,) = [e for e in state.entries if isinstance(e, DataCentreEntry)]
+    assert centre.placement is Placement.OUT
+    state.place('dc1', Placement.IN, 3.0)
+    (centre,) = [e for e in state.entries if isinstance(e, DataCentreEntry)]
+    assert centre.placement is Placement.IN
+
+
+@pytest.mark.parametrize(
+    'configuration',
+    [
+        _configuration(0, _account()),
+        _configuration(9, _account(), _account(rate=6.0)),
+        _configuration(9, _account(rate=-1.0)),
+        _configuration(9, KeyEntry(owner='o', name='k', account='none')),
+        _configuration(9, DataCentreEntry(owner='o', name='dc1')),
+    ],
+    ids=['version', 'twice', 'rate', 'reference', 'data centre'],
+)
+def test_a_configuration_with_mistakes_changes_nothing(configuration):
+    state = CatalogueState()
+    state.replace(_configuration(1, _account()), 1.0)
+    before = state.snapshot()
+    answer = state.replace(configuration, 2.0)
+    assert answer.error is ChangeError.INVALID
+    assert answer.mistakes
+    assert state.snapshot() == before
+
+
+def test_a_snapshot_keeps_version_and_document():
+    # Fails if a member that restarts takes an older configuration.
+    state = CatalogueState()
+    state.replace(_configuration(7, _account()), 1.0)
+    restored = CatalogueState()
+    restored.restore(state.snapshot())
+    restored.replace(_configuration(6, _account(rate=9.0)), 2.0)
+    assert restored.configuration_version == 7
+    assert restored.document == b'document 7'
+    assert _rates(restored) == {'a': 5.0}
+
+
+def test_the_stored_form_is_read_back():
+    configuration = _configuration(3, _account(), _account('b'))
+    data = encode_configuration(configuration)
+    assert decode_configuration(data) == configuration
+
+
+@pytest.mark.parametrize(
+    'damage',
+    [lambda d: b'', lambda d: d[:-3], lambda d: b'x' + d, lambda d: b'{}'],
+    ids=['empty', 'cut', 'shifted', 'text'],
+)
+def test_a_damaged_form_is_a_protocol_error(damage):
+    data = encode_configuration(_configuration(3, _account()))
+    with pytest.raises(ProtocolError):
+        decode_configuration(damage(data))
--- a/libs/control/tests/test_leader_finder.py
+++ b/libs/control/tests/test_leader_finder.py
@@ -48,3 +48,24 @@
 def test_a_member_that_no_one_named_is_left_after_one_refusal(finder):
     finder.note_refusal(finder.client, '')
     assert _current(finder) == 1
+
+
+@pytest.mark.parametrize('named', ['m1', 'm7', 'elsewhere'])
+def test_a_named_member_is_found_where_it_is_known_or_resolved(
+    monkeypatch, named
+):
+    # Fails if daemons lose control once members were replaced elsewhere.
+    monkeypatch.setattr(PeerClient, 'is_connected', True)
+    finder = LeaderFinder(
+        {VmId(f'm{n}'): Address('127.0.0.1', 20_000 + n) for n in range(2)},
+        TcpNetwork('127.0.0.1'),
+        Secret('fleet'),
+        VmId('vm'),
+        {VmId('m7'): Address('127.0.0.1', 20_007)}.get,
+    )
+    is_known = named != 'elsewhere'
+    assert finder.note_refusal(finder.client, named) is is_known
+    if is_known:
+        assert _current(finder) == int(named[1:])
+    else:
+        assert finder.members == (VmId('m0'), VmId('m1'))
--- a/libs/control/tests/test_membership.py
+++ b/libs/control/tests/test_membership.py
@@ -78,3 +78,45 @@
     assert membership.evidence_s('db', 2) == 0.0
     membership.note_answer('db', 0.05)
     assert membership.evidence_s('db', 2) == clock.now_s() - 0.05
+
+
+@pytest.mark.parametrize(
+    ('change', 'is_taken'),
+    [
+        # The same process, heard late.
+        ({'incarnation': 4, 'sequence': 6}, False),
+        ({'incarnation': 4, 'sequence': 7}, False),
+        # A process before the one that ended.
+        ({'incarnation': 3, 'sequence': 9}, False),
+        ({'incarnation': 5, 'sequence': 1}, True),
+    ],
+)
+def test_only_a_later_process_brings_back_a_database_that_ended(
+    change, is_taken
+):
+    # Fails if an announcement that was delayed returns a released database.
+    membership, clock = _membership()
+    server = msgspec.structs.replace(SERVER, incarnation=4, sequence=7)
+    membership.hear(server, 0.0)
+    assert membership.depart('db')
+    assert not membership.depart('db')
+    clock.advance(0.1)
+    membership.hear(msgspec.structs.replace(server, **change), 0.0)
+    assert bool(membership.servers) is is_taken
+
+
+def test_an_address_that_is_used_again_ends_the_earlier_database():
+    # Fails if statements go to the new database under the earlier id.
+    membership, clock = _membership()
+    server = msgspec.structs.replace(SERVER, incarnation=4, sequence=7)
+    membership.hear(server, 0.0)
+    clock.advance(0.1)
+    other = msgspec.structs.replace(
+        server, database='db9', incarnation=9, sequence=1
+    )
+    membership.hear(other, 0.0)
+    assert [one.database for one in membership.servers] == ['db9']
+    clock.advance(0.1)
+    later = msgspec.structs.replace(server, sequence=8)
+    assert not membership.hear(later, 0.0)
+    assert [one.database for one in membership.servers] == ['db9']
--- a/libs/limits/tests/test_lender.py
+++ b/libs/limits/tests/test_lender.py
@@ -158,6 +158,40 @@
     assert lender.levels()[ACCOUNT] == pytest.approx((28, 2))
 
 
+def test_the_reserve_of_many_borrowers_is_not_more_than_the_burst():
+    # Fails if a new leader with many daemons starts with a debt, and refuses
+    # requests until each of them has been heard.
+    known = frozenset(f'vm{number}' for number in range(12))
+    lender, _ = _lender(known, is_first=False, share=0.25)
+    assert lender.levels()[ACCOUNT] == (0, 30)
+    for number in range(8):
+        lender.register(f'vm{number}', {})
+    # Four may still hold a quarter of the burst each.
+    assert lender.levels()[ACCOUNT].outstanding == 30
+    lender.register('vm8', {})
+    assert lender.levels()[ACCOUNT].outstanding == 22.5
+
+
+@pytest.mark.parametrize('is_heard', [True, False])
+def test_a_borrower_that_has_ended_is_not_waited_for(is_heard):
+    # Fails if the loan of a restarted daemon stays lent for its period.
+    known = frozenset({'vm0', 'vm1'})
+    lender, clock = _lender(known, is_first=False, share=0.25)
+    clock.advance(4)
+    lender.register('vm1', {})
+    if is_heard:
+        lender.register('vm0', {ACCOUNT: LoanBalance(6.0)})
+    lender.note_ended('vm0')
+    assert lender.awaited == frozenset()
+    assert lender.borrowers == frozenset({'vm1'})
+    assert lender.levels()[ACCOUNT].outstanding == 0
+    # What it held may have been spent just before, and returns at the rate.
+    level = lender.levels()[ACCOUNT].level
+    assert level <= 24
+    clock.advance(0.1)
+    assert lender.levels()[ACCOUNT].level == pytest.approx(level + 1)
+
+
 def test_recently_spent_tokens_do_not_return_with_a_registration():
     lender, clock = _lender(
         frozenset({'vm0', 'vm1', 'vm2', 'vm3'}), is_first=False, share=0.25
