Call no silent member while others elect, and count earlier leases from their last grant

In an incident a front whose leader was cut off called it again after both others had refused, for a time limit of 0.8 s, and registered with the next leader 0.7 s late. The change of primary then waited for leases from the start of the new leader on, though the last was granted an election earlier.

--- a/libs/control/siskinsail_control/_daemon_table.py
+++ b/libs/control/siskinsail_control/_daemon_table.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+import math
 
 import anyio
 
@@ -62,6 +63,9 @@
         Time of the leader.
     registered : frozenset
         Daemons that earlier leaders may have granted leases to.
+    granted_until_s : float
+        Time on this leader's clock after which no earlier leader granted a
+        lease; by default only its own start is known to be later.
     """
 
     def __init__(
@@ -69,14 +73,15 @@
         settings: ControlSettings,
         clock: Clock,
         registered: frozenset[DaemonKey],
+        granted_until_s: float = math.inf,
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._records: dict[DaemonKey, DaemonRecord] = {}
         self._unheard = set(registered)
         self._released_s: dict[DaemonKey, float] = {}
-        # An earlier leader granted its last lease before this one began.
-        self._earlier_end_s = clock.now_s() + self._lease_s
+        granted_s = min(clock.now_s(), granted_until_s)
+        self._earlier_end_s = granted_s + self._lease_s
         self._changed = anyio.Event()
 
     @property
--- a/libs/control/siskinsail_control/_leader_context.py
+++ b/libs/control/siskinsail_control/_leader_context.py
@@ -64,7 +64,12 @@
         self.admin = admin
         self.term = replica.term
         self.view_log = ViewLog(first_index)
-        self.table = DaemonTable(settings, clock, state.active_daemons)
+        self.table = DaemonTable(
+            settings,
+            clock,
+            state.active_daemons,
+            replica.earlier_lease_end_s,
+        )
         self.membership = Membership(settings, clock)
 
     @property
--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -16,6 +16,10 @@
 # With a pause of 50 ms between calls, enough for an election that another
 # member already knows of to be completed.
 MAX_CALLS_TO_NAMED = 6
+# Calls to the others before a silent member is called again, which may cost
+# a whole time limit. With the pauses between them they take about as long
+# as an election that began when the member fell silent.
+MAX_CALLS_AROUND_SILENT = 8
 
 
 def _no_address(member: VmId) -> Address | None:
@@ -61,6 +65,7 @@
         # The member that last did not answer; others may still name it as
         # leader until they have elected another.
         self._silent: VmId | None = None
+        self._calls_around_silent = 0
         self._calls_to_named = 0
 
     @property
@@ -123,6 +128,7 @@
         if self.client is not client:
             return
         self._silent = self._current
+        self._calls_around_silent = MAX_CALLS_AROUND_SILENT
         self._choose_next()
         log_event(
             'control_member_silent', member=self._silent, next=self._current
@@ -180,5 +186,10 @@
         connected = [
             member for member in others if self._clients[member].is_connected
         ]
+        if self._calls_around_silent > 0 and self._silent in connected:
+            self._calls_around_silent -= 1
+            connected.remove(self._silent)
+            if not connected and self.client.is_connected:
+                return
         if others:
             self._current = (connected or others)[0]
--- a/libs/control/tests/test_daemon_table.py
+++ b/libs/control/tests/test_daemon_table.py
@@ -38,6 +38,26 @@
     assert table.is_settled(5) is expected
 
 
+@pytest.mark.parametrize(
+    ('granted_before_s', 'waits_s'),
+    [(0.8, WAIT_S - 0.8), (0.0, WAIT_S), (-0.3, WAIT_S), (9.0, 0.0)],
+)
+def test_leases_are_counted_from_the_last_grant_of_an_earlier_leader(
+    granted_before_s, waits_s
+):
+    # Fails if each change of primary after an election waits for the time
+    # of the election once more, or if it waits too little.
+    clock = ManualClock()
+    clock.advance(10.0)
+    granted_until_s = clock.now_s() - granted_before_s
+    table = DaemonTable(SETTINGS, clock, frozenset({KEY}), granted_until_s)
+    if waits_s > 0:
+        clock.advance(waits_s - 0.01)
+        assert not table.is_settled(1)
+        clock.advance(0.02)
+    assert table.is_settled(1)
+
+
 def test_a_daemon_that_called_may_still_act_on_an_earlier_lease():
     table, clock = _table(KEY)
     table.note_call(KEY, 'a', 1, 5)
--- a/libs/control/tests/test_leader_finder.py
+++ b/libs/control/tests/test_leader_finder.py
@@ -3,6 +3,7 @@
 import pytest
 
 from siskinsail_control._leader_finder import LeaderFinder
+from siskinsail_control._leader_finder import MAX_CALLS_AROUND_SILENT
 from siskinsail_control._leader_finder import MAX_CALLS_TO_NAMED
 from siskinsail_net import PeerClient
 from siskinsail_net import TcpNetwork
@@ -45,6 +46,40 @@
     assert _current(finder) == 2
 
 
+@pytest.mark.parametrize('hint', ['', 'm0'])
+def test_a_silent_member_is_not_called_again_while_others_elect(finder, hint):
+    # Fails if a daemon spends a time limit on a leader that was cut off,
+    # whose connection still stands, instead of meeting the next one.
+    finder.note_failure(finder.client)
+    for _ in range(MAX_CALLS_AROUND_SILENT - 1):
+        assert _current(finder) != 0
+        finder.note_refusal(finder.client, hint)
+    assert _current(finder) != 0
+    # It may lead again all the same, when no one was elected.
+    for _ in range(3):
+        if _current(finder) != 0:
+            finder.note_refusal(finder.client, hint)
+    assert _current(finder) == 0
+
+
+def test_the_only_other_member_is_asked_while_one_is_silent(
+    finder, monkeypatch
+):
+    # Fails if a daemon alternates between an answer and a time limit.
+    monkeypatch.setattr(
+        PeerClient,
+        'is_connected',
+        property(lambda client: client.remote.port != 20_002),
+    )
+    finder.note_failure(finder.client)
+    for _ in range(MAX_CALLS_AROUND_SILENT):
+        assert _current(finder) == 1
+        finder.note_refusal(finder.client, '')
+    assert _current(finder) == 1
+    finder.note_refusal(finder.client, '')
+    assert _current(finder) == 0
+
+
 def test_a_member_that_no_one_named_is_left_after_one_refusal(finder):
     finder.note_refusal(finder.client, '')
     assert _current(finder) == 1
