--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -16,9 +16,10 @@
 # With a pause of 50 ms between calls, enough for an election that another
 # member already knows of to be completed.
 MAX_CALLS_TO_NAMED = 6
-# Calls to the others before a silent member is called again, which may cost
-# a whole time limit. With the pauses between them they take about as long
-# as an election that began when the member fell silent.
+# Calls to the others before a member that was silent on a connection that
+# stands is called again, which may cost a whole time limit. With the pauses
+# between them they take about as long as an election that began when the
+# member fell silent.
 MAX_CALLS_AROUND_SILENT = 8
 
 
@@ -127,12 +128,11 @@
         """
         if self.client is not client:
             return
-        self._silent = self._current
+        silent = self._silent = self._current
         self._calls_around_silent = MAX_CALLS_AROUND_SILENT
+        self._note_connections()
         self._choose_next()
-        log_event(
-            'control_member_silent', member=self._silent, next=self._current
-        )
+        log_event('control_member_silent', member=silent, next=self._current)
 
     def note_refusal(self, client: PeerClient, hint: str) -> bool:
         """Go on to the leader that a member named, or to the next member.
@@ -151,6 +151,7 @@
         """
         if self.client is not client:
             return False
+        self._note_connections()
         named = VmId(hint)
         self._learn(named)
         if (
@@ -178,6 +179,16 @@
         if address is not None:
             self.add({named: address})
 
+    def _note_connections(self) -> None:
+        """Forget the silence of a member whose connection has ended.
+
+        Once it has another connection its process is there again, and after
+        a restart of the whole fleet it may be the one that leads.
+        """
+        if self._silent and not self._clients[self._silent].is_connected:
+            self._silent = None
+            self._calls_around_silent = 0
+
     def _choose_next(self) -> None:
         self._leader = None
         self._calls_to_named = 0
--- a/libs/control/tests/test_leader_finder.py
+++ b/libs/control/tests/test_leader_finder.py
@@ -62,6 +62,28 @@
     assert _current(finder) == 0
 
 
+@pytest.mark.parametrize('ends_later', [True, False])
+def test_a_member_that_was_connected_anew_is_called_in_turn(
+    finder, monkeypatch, ends_later
+):
+    # Fails if daemons miss the leader for half a second after all processes
+    # were restarted, because it was not there when they began.
+    dead = {20_000}
+    monkeypatch.setattr(
+        PeerClient,
+        'is_connected',
+        property(lambda client: client.remote.port not in dead),
+    )
+    if ends_later:
+        dead.clear()
+    finder.note_failure(finder.client)
+    dead.add(20_000)
+    finder.note_refusal(finder.client, '')
+    dead.clear()
+    finder.note_refusal(finder.client, '')
+    assert _current(finder) == 0
+
+
 def test_the_only_other_member_is_asked_while_one_is_silent(
     finder, monkeypatch
 ):
