Let three rows of the proofs find their code again

The rows of lost disks and of a leaving database named text that had moved when members became replaceable elsewhere and pools were split. A test now checks that each row finds the text that it replaces, once.

--- /dev/null
+++ b/tests/test_mutation_rows.py
@@ -0,0 +1,16 @@
+"""Guards rows of the proofs against code that has moved away from them."""
+
+from pathlib import Path
+
+import pytest
+from run_mutations import Mutation
+from run_mutations import mutations
+from run_mutations import ROOT
+
+
+@pytest.mark.parametrize('mutation', mutations([]), ids=lambda row: row.name)
+def test_a_row_finds_the_text_that_it_replaces(mutation: Mutation):
+    # Fails if a mechanism can no longer be switched off as its row says.
+    for file, old, _ in mutation.replacements:
+        assert (ROOT / file).read_text().count(old) == 1
+    assert (ROOT / Path(mutation.test.partition('::')[0])).exists()
