--- a/libs/consensus/siskinsail_consensus/_peers.py
+++ b/libs/consensus/siskinsail_consensus/_peers.py
@@ -3,12 +3,11 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
-import anyio
-import anyio.abc
 import msgspec
 
 from siskinsail_net import Network
 from siskinsail_net import PeerClient
+from siskinsail_net import PeerClients
 from siskinsail_types import DiskId
 from siskinsail_types import ProtocolError
 from siskinsail_types import Secret
@@ -76,13 +75,15 @@
     def __init__(
         self, settings: ConsensusSettings, network: Network, secret: Secret
     ) -> None:
-        self._settings = settings
-        self._network = network
-        self._secret = secret
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._own_name = settings.vm_id
+        self._clients = PeerClients(
+            network, secret, settings.vm_id, settings.resolve
+        )
         self._peers: dict[VmId, Peer] = {}
         for member in settings.members:
-            self._add(member)
+            if member.name != self._own_name:
+                self._clients.add(member.name, member.address)
+                self._add(member)
 
     def __iter__(self) -> Iterator[Peer]:
         return iter(tuple(self._peers.values()))
@@ -94,31 +95,20 @@
     def learn(self, names: Iterable[VmId]) -> None:
         """Take further members whose addresses can be found."""
         for name in names:
-            if name and name not in self._peers:
-                address = self._settings.resolve(name)
-                if address is not None:
-                    self._add(MemberAddress(name, address))
+            if (
+                name
+                and name != self._own_name
+                and name not in self._peers
+                and self._clients.learn(name)
+            ):
+                self._add(MemberAddress(name, self._clients[name].remote))
 
     async def run(self) -> None:
         """Keep the connections up until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            try:
-                for peer in self:
-                    tasks.start_soon(peer.client.run)
-                await anyio.sleep_forever()
-            finally:
-                self._tasks = None
+        await self._clients.run()
 
     def _add(self, member: MemberAddress) -> None:
-        if member.name == self._settings.vm_id:
-            return
-        client = PeerClient(
-            self._network, member.address, self._secret, self._settings.vm_id
-        )
-        self._peers[member.name] = Peer(member, client)
-        if self._tasks is not None:
-            self._tasks.start_soon(client.run)
+        self._peers[member.name] = Peer(member, self._clients[member.name])
 
 
 async def call_peer(
--- a/libs/consensus/siskinsail_consensus/_settings.py
+++ b/libs/consensus/siskinsail_consensus/_settings.py
@@ -9,6 +9,8 @@
 
 from siskinsail_journal import Disk
 from siskinsail_journal import FileDisk
+from siskinsail_net import no_address
+from siskinsail_net import Resolve
 from siskinsail_types import Address
 from siskinsail_types import VmId
 
@@ -25,10 +27,6 @@
     return secrets.token_hex(16)
 
 
-def _no_address(name: VmId) -> Address | None:
-    return None
-
-
 @dataclass(frozen=True)
 class ConsensusSettings:
     """Members, data folder, timers and limits.
@@ -100,7 +98,7 @@
     command_bytes: int = 1024 * 1024
     max_waiting: int = 2000
     max_snapshot_bytes: int = 256 * 1024 * 1024
-    resolve: Callable[[VmId], Address | None] = _no_address
+    resolve: Resolve = no_address
     target_voters: int | None = None
     replace_after_s: float = 3.0
     may_form: bool = True
--- a/libs/consensus/tests/test_other_addresses.py
+++ b/libs/consensus/tests/test_other_addresses.py
@@ -45,15 +45,21 @@
     await eventually(is_reached, f'voters {wanted}')
 
 
+async def replace(cluster, lost):
+    """Lose a member for good, and return the voters with another one."""
+    await cluster.stop(lost)
+    await cluster.start('d', may_form=False)
+    kept = sorted({*NAMES, 'd'} - {lost})
+    await until_voters(cluster, kept)
+    return kept
+
+
 async def test_another_member_takes_the_place_of_a_lost_one(tmp_path):
     async with new_cluster(tmp_path) as cluster:
         await cluster.propose(b'1')
         leader = await cluster.leader()
         lost = next(name for name in NAMES if name != leader)
-        await cluster.stop(lost)
-        await cluster.start('d', may_form=False)
-        kept = sorted({*NAMES, 'd'} - {lost})
-        await until_voters(cluster, kept)
+        kept = await replace(cluster, lost)
         # A second loss right after the repair: what was committed is kept
         # and the new member is needed for a majority.
         await cluster.propose(b'2')
@@ -67,10 +73,7 @@
     async with new_cluster(tmp_path) as cluster:
         await cluster.propose(b'1')
         lost = await cluster.leader()
-        await cluster.stop(lost)
-        await cluster.start('d', may_form=False)
-        kept = sorted({*NAMES, 'd'} - {lost})
-        await until_voters(cluster, kept)
+        kept = await replace(cluster, lost)
         await cluster.propose(b'2')
         await cluster.agreed([b'1', b'2'], *kept)
 
@@ -80,10 +83,7 @@
         await cluster.propose(b'1')
         leader = await cluster.leader()
         lost = next(name for name in NAMES if name != leader)
-        await cluster.stop(lost)
-        await cluster.start('d', may_form=False)
-        kept = sorted({*NAMES, 'd'} - {lost})
-        await until_voters(cluster, kept)
+        kept = await replace(cluster, lost)
         term = cluster.replicas[leader].term
         await cluster.start(lost)
         await cluster.propose(b'2')
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -14,6 +14,8 @@
 from siskinsail_limits import LoanGrant
 from siskinsail_limits import LoanReport
 from siskinsail_net import Network
+from siskinsail_net import no_address
+from siskinsail_net import Resolve
 from siskinsail_telemetry import log_event
 from siskinsail_types import AccountId
 from siskinsail_types import Address
@@ -29,7 +31,6 @@
 from siskinsail_types import VmId
 
 from ._allowances import Allowances
-from ._leader_finder import _no_address
 from ._leader_finder import LeaderFinder
 from ._leader_link import forward_request
 from ._leader_link import RETRY_DELAY_S
@@ -107,7 +108,7 @@
         clock: Clock,
         borrower: TokenBorrower,
         metrics: ControlMetrics,
-        resolve: Callable[[VmId], Address | None] = _no_address,
+        resolve: Resolve = no_address,
     ) -> None:
         self._settings = settings
         self._identity = identity
--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -1,13 +1,12 @@
 """Connections of a daemon to the control members."""
 
-from collections.abc import Callable
 from collections.abc import Mapping
 
-import anyio
-import anyio.abc
-
 from siskinsail_net import Network
+from siskinsail_net import no_address
 from siskinsail_net import PeerClient
+from siskinsail_net import PeerClients
+from siskinsail_net import Resolve
 from siskinsail_telemetry import log_event
 from siskinsail_types import Address
 from siskinsail_types import Secret
@@ -23,10 +22,6 @@
 MAX_CALLS_AROUND_SILENT = 8
 
 
-def _no_address(member: VmId) -> Address | None:
-    return None
-
-
 class LeaderFinder:
     """Knows which control member to call.
 
@@ -51,17 +46,11 @@
         network: Network,
         secret: Secret,
         vm: VmId,
-        resolve: Callable[[VmId], Address | None] = _no_address,
+        resolve: Resolve = no_address,
     ) -> None:
-        self._resolve = resolve
-        self._network = network
-        self._secret = secret
-        self._vm = vm
-        self._tasks: anyio.abc.TaskGroup | None = None
-        self._clients: dict[VmId, PeerClient] = {}
-        self._order: list[VmId] = []
+        self._clients = PeerClients(network, secret, vm, resolve)
         self.add(members)
-        self._current = self._order[0]
+        self._current = self.members[0]
         self._leader: VmId | None = None
         # The member that last did not answer; others may still name it as
         # leader until they have elected another.
@@ -72,7 +61,7 @@
     @property
     def members(self) -> tuple[VmId, ...]:
         """Names of the control members."""
-        return tuple(self._order)
+        return tuple(self._clients)
 
     @property
     def leader(self) -> VmId | None:
@@ -87,24 +76,11 @@
     def add(self, members: Mapping[VmId, Address]) -> None:
         """Take further members; those that are known stay."""
         for member, address in members.items():
-            if member in self._clients:
-                continue
-            client = PeerClient(self._network, address, self._secret, self._vm)
-            self._clients[member] = client
-            self._order.append(member)
-            if self._tasks is not None:
-                self._tasks.start_soon(client.run)
+            self._clients.add(member, address)
 
     async def run(self) -> None:
         """Keep the connections up until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            try:
-                for client in self._clients.values():
-                    tasks.start_soon(client.run)
-                await anyio.sleep_forever()
-            finally:
-                self._tasks = None
+        await self._clients.run()
 
     def prefer_connected(self) -> None:
         """Leave a member without a connection for one that has one."""
@@ -113,8 +89,8 @@
 
     def note_leader(self, client: PeerClient) -> None:
         """Take note that a member answered as leader."""
-        for member, other in self._clients.items():
-            if other is client:
+        for member in self._clients:
+            if self._clients[member] is client:
                 self._current = member
                 self._leader = member
                 self._silent = None
@@ -153,9 +129,9 @@
             return False
         self._note_connections()
         named = VmId(hint)
-        self._learn(named)
         if (
-            named in self._clients
+            named
+            and self._clients.learn(named)
             and named != self._silent
             and self._clients[named].is_connected
         ):
@@ -171,14 +147,6 @@
         self._choose_next()
         return False
 
-    def _learn(self, named: VmId) -> None:
-        """Take a member that another one named as leader."""
-        if not named or named in self._clients:
-            return
-        address = self._resolve(named)
-        if address is not None:
-            self.add({named: address})
-
     def _note_connections(self) -> None:
         """Forget the silence of a member whose connection has ended.
 
@@ -192,8 +160,9 @@
     def _choose_next(self) -> None:
         self._leader = None
         self._calls_to_named = 0
-        start = self._order.index(self._current) + 1
-        others = self._order[start:] + self._order[: start - 1]
+        order = self.members
+        start = order.index(self._current) + 1
+        others = order[start:] + order[: start - 1]
         connected = [
             member for member in others if self._clients[member].is_connected
         ]
--- a/libs/control/siskinsail_control/_leader_link.py
+++ b/libs/control/siskinsail_control/_leader_link.py
@@ -1,12 +1,14 @@
 """Calls to the control leader that need no daemon lease."""
 
-from collections.abc import Callable
 from collections.abc import Mapping
 import math
+from typing import TypeVar
 
 import anyio
 
 from siskinsail_net import Network
+from siskinsail_net import no_address
+from siskinsail_net import Resolve
 from siskinsail_types import Address
 from siskinsail_types import Clock
 from siskinsail_types import ProtocolError
@@ -15,7 +17,6 @@
 from siskinsail_types import TransportError
 from siskinsail_types import VmId
 
-from ._leader_finder import _no_address
 from ._leader_finder import LeaderFinder
 from ._messages import decode_message
 from ._messages import encode_message
@@ -29,6 +30,8 @@
 
 RETRY_DELAY_S = 0.05
 
+_AnswerT = TypeVar('_AnswerT', OperatorAnswer, ReportAnswer)
+
 
 async def forward_request(
     finder: LeaderFinder,
@@ -53,7 +56,27 @@
         ``TransportError`` if the request may have been carried out,
         ``ProtocolError`` if no leader took it.
     """
-    payload = encode_message(request)
+    return await _call_leader(
+        finder,
+        clock,
+        OPERATOR_METHOD,
+        encode_message(request),
+        OperatorAnswer,
+        timeout_s,
+        attempt_s,
+    )
+
+
+async def _call_leader(
+    finder: LeaderFinder,
+    clock: Clock,
+    method: str,
+    payload: bytes,
+    answer_type: type[_AnswerT],
+    timeout_s: float,
+    attempt_s: float,
+) -> _AnswerT | SiskinsailError:
+    """Call members until the leader has answered."""
     end_s = clock.now_s() + timeout_s
     error: SiskinsailError = ProtocolError('no control leader')
     while (remaining_s := end_s - clock.now_s()) > 0:
@@ -62,9 +85,9 @@
         if client.is_connected:
             try:
                 answer = decode_message(
-                    OperatorAnswer,
+                    answer_type,
                     await client.call(
-                        OPERATOR_METHOD, payload, min(remaining_s, attempt_s)
+                        method, payload, min(remaining_s, attempt_s)
                     ),
                 )
             except SiskinsailError as lost:
@@ -104,7 +127,7 @@
         vm: VmId,
         clock: Clock,
         attempt_s: float,
-        resolve: Callable[[VmId], Address | None] = _no_address,
+        resolve: Resolve = no_address,
     ) -> None:
         self._finder = LeaderFinder(members, network, secret, vm, resolve)
         self._clock = clock
@@ -128,26 +151,13 @@
 
     async def report(self, request: ReportRequest, timeout_s: float) -> bool:
         """Pass news of databases on; tell whether the leader took them."""
-        payload = encode_message(request)
-        end_s = self._clock.now_s() + timeout_s
-        while (remaining_s := end_s - self._clock.now_s()) > 0:
-            self._finder.prefer_connected()
-            client = self._finder.client
-            try:
-                answer = decode_message(
-                    ReportAnswer,
-                    await client.call(
-                        REPORT_METHOD,
-                        payload,
-                        min(remaining_s, self._attempt_s),
-                    ),
-                )
-            except SiskinsailError:
-                self._finder.note_failure(client)
-            else:
-                if answer.status is Status.OK:
-                    self._finder.note_leader(client)
-                    return True
-                self._finder.note_refusal(client, answer.leader)
-            await anyio.sleep(RETRY_DELAY_S)
-        return False
+        answer = await _call_leader(
+            self._finder,
+            self._clock,
+            REPORT_METHOD,
+            encode_message(request),
+            ReportAnswer,
+            timeout_s,
+            self._attempt_s,
+        )
+        return isinstance(answer, ReportAnswer)
--- a/libs/daemon/siskinsail_daemon/_command.py
+++ b/libs/daemon/siskinsail_daemon/_command.py
@@ -1,6 +1,5 @@
 """The ``siskinsaild`` command."""
 
-from collections.abc import Iterator
 import signal
 import sys
 
@@ -11,6 +10,7 @@
 from siskinsail_telemetry import configure_logging
 from siskinsail_telemetry import EventLog
 from siskinsail_telemetry import log_event
+from siskinsail_types import each_failure
 from siskinsail_types import SiskinsailError
 from siskinsail_types import SystemClock
 
@@ -64,22 +64,12 @@
             backend_options={'use_uvloop': settings.uses_uvloop},
         )
     except* SiskinsailError as failures:
-        for failure in _each(failures):
+        for failure in each_failure(failures):
             print(f'siskinsaild: {failure}', file=sys.stderr)
         status = FAILED
     return status
 
 
-def _each(
-    failures: ExceptionGroup[SiskinsailError],
-) -> Iterator[SiskinsailError]:
-    for failure in failures.exceptions:
-        if isinstance(failure, ExceptionGroup):
-            yield from _each(failure)
-        else:
-            yield failure
-
-
 def main() -> None:
     """Run the command line."""
     fire.Fire(command(DaemonSettings, run_daemon), name='siskinsaild')
--- a/libs/net/siskinsail_net/__init__.py
+++ b/libs/net/siskinsail_net/__init__.py
@@ -19,12 +19,17 @@
 from ._http_server import Handler as Handler
 from ._http_server import HttpServer as HttpServer
 from ._network import bound_address as bound_address
+from ._network import DISCONNECTED as DISCONNECTED
 from ._network import Network as Network
+from ._network import serve_connections as serve_connections
 from ._network import TcpNetwork as TcpNetwork
 from ._peer_client import CONNECT_TIMEOUT_S as CONNECT_TIMEOUT_S
 from ._peer_client import PeerCallError as PeerCallError
 from ._peer_client import PeerClient as PeerClient
 from ._peer_client import RECONNECT_DELAY_S as RECONNECT_DELAY_S
+from ._peer_clients import no_address as no_address
+from ._peer_clients import PeerClients as PeerClients
+from ._peer_clients import Resolve as Resolve
 from ._peer_frame import decode_envelope as decode_envelope
 from ._peer_frame import encode_frame as encode_frame
 from ._peer_frame import Frame as Frame
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -17,8 +17,8 @@
 from ._http_message import HttpResponse
 from ._http_message import MAX_BODY_BYTES
 from ._http_message import MAX_HEADER_BYTES
-from ._network import bound_address
 from ._network import Network
+from ._network import serve_connections
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 BadRequestHandler = Callable[[int, str], HttpResponse]
@@ -130,10 +130,9 @@
         ),
     ) -> None:
         """Serve until cancelled; report the bound address when started."""
-        listener = await self._network.listen(local)
-        async with listener:
-            task_status.started(bound_address(listener))
-            await listener.serve(self._serve_connection)
+        await serve_connections(
+            self._network, local, self._serve_connection, task_status
+        )
 
     async def _serve_connection(self, raw: anyio.abc.SocketStream) -> None:
         stream = self._network.accepted(raw)
--- a/libs/net/siskinsail_net/_network.py
+++ b/libs/net/siskinsail_net/_network.py
@@ -1,5 +1,7 @@
 """The network seam: every connection is made and accepted through it."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import Protocol
 
 import anyio
@@ -10,6 +12,13 @@
 from siskinsail_types import ListenError
 from siskinsail_types import TransportError
 
+DISCONNECTED = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+"""Errors of a stream whose connection has ended."""
+
 
 class Network(Protocol):
     """Makes and accepts TCP connections."""
@@ -96,3 +105,24 @@
     """Return the address that a listener is bound to."""
     local = listener.extra(anyio.abc.SocketAttribute.local_address)
     return Address(str(local[0]), int(local[1]))
+
+
+async def serve_connections(
+    network: Network,
+    local: Address,
+    handle: Callable[[anyio.abc.SocketStream], Awaitable[None]],
+    task_status: anyio.abc.TaskStatus[Address],
+) -> None:
+    """Run a task for each connection to an address, until cancelled.
+
+    Parameters
+    ----------
+    handle : callable
+        Serves a connection as the listener accepted it.
+    task_status : TaskStatus
+        Is told the bound address.
+    """
+    listener = await network.listen(local)
+    async with listener:
+        task_status.started(bound_address(listener))
+        await listener.serve(handle)
--- a/libs/net/siskinsail_net/_peer_client.py
+++ b/libs/net/siskinsail_net/_peer_client.py
@@ -17,6 +17,7 @@
 from siskinsail_types import TransportError
 from siskinsail_types import VmId
 
+from ._network import DISCONNECTED
 from ._network import Network
 from ._peer_frame import Frame
 from ._peer_frame import FrameKind
@@ -33,13 +34,6 @@
 SILENCE_LIMIT_S = 2.0
 SILENCE_CHECK_S = 0.25
 
-_DISCONNECTED = (
-    anyio.EndOfStream,
-    anyio.IncompleteRead,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
-
 
 class PeerCallError(SiskinsailError):
     """The peer answered a call with an error.
@@ -133,7 +127,7 @@
         while True:
             try:
                 await self._connect_and_receive()
-            except (SiskinsailError, TimeoutError, *_DISCONNECTED) as error:
+            except (SiskinsailError, TimeoutError, *DISCONNECTED) as error:
                 self._note_lost(error)
             await anyio.sleep(RECONNECT_DELAY_S)
 
@@ -222,7 +216,7 @@
                     # Calls that are still waiting count from here.
                     if self._pending:
                         self._silent_since_s = self._clock.now_s()
-            except (SiskinsailError, *_DISCONNECTED) as error:
+            except (SiskinsailError, *DISCONNECTED) as error:
                 # Raised inside the group, it would come out wrapped.
                 ended = error
                 tasks.cancel_scope.cancel()
--- a/libs/net/siskinsail_net/_peer_server.py
+++ b/libs/net/siskinsail_net/_peer_server.py
@@ -16,8 +16,9 @@
 from siskinsail_types import SiskinsailError
 from siskinsail_types import VmId
 
-from ._network import bound_address
+from ._network import DISCONNECTED
 from ._network import Network
+from ._network import serve_connections
 from ._peer_frame import Frame
 from ._peer_frame import FrameKind
 from ._peer_frame import FrameStream
@@ -28,13 +29,6 @@
 MAX_CALLS_IN_FLIGHT = 256
 HANDSHAKE_TIMEOUT_S = 3.0
 
-_DISCONNECTED = (
-    anyio.EndOfStream,
-    anyio.IncompleteRead,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
-
 CallHandler = Callable[[VmId, bytes], Awaitable[bytes]]
 
 
@@ -74,10 +68,9 @@
         ),
     ) -> None:
         """Serve until cancelled; report the bound address when started."""
-        listener = await self._network.listen(local)
-        async with listener:
-            task_status.started(bound_address(listener))
-            await listener.serve(self._serve_peer)
+        await serve_connections(
+            self._network, local, self._serve_peer, task_status
+        )
 
     async def _serve_peer(self, raw: anyio.abc.SocketStream) -> None:
         frames = FrameStream(self._network.accepted(raw))
@@ -87,7 +80,7 @@
             await self._answer_calls(frames, caller)
         except ProtocolError as error:
             await self._report(frames, error)
-        except (TimeoutError, *_DISCONNECTED):
+        except (TimeoutError, *DISCONNECTED):
             pass
         finally:
             await frames.aclose()
@@ -118,7 +111,7 @@
                     tasks.start_soon(
                         self._answer, frames, caller, request, limiter
                     )
-            except (ProtocolError, *_DISCONNECTED) as error:
+            except (ProtocolError, *DISCONNECTED) as error:
                 # Raised inside the group, it would come out wrapped, pass
                 # the handlers of the caller and stop the whole server.
                 ended = error
--- a/libs/types/siskinsail_types/__init__.py
+++ b/libs/types/siskinsail_types/__init__.py
@@ -5,6 +5,7 @@
 from ._clock import ManualClock as ManualClock
 from ._clock import SystemClock as SystemClock
 from ._errors import CallTimeoutError as CallTimeoutError
+from ._errors import each_failure as each_failure
 from ._errors import ErrorCode as ErrorCode
 from ._errors import LimitExceededError as LimitExceededError
 from ._errors import ListenError as ListenError
--- a/libs/types/siskinsail_types/_errors.py
+++ b/libs/types/siskinsail_types/_errors.py
@@ -4,6 +4,7 @@
 types; unexpected ones are raised. Every type carries a stable code.
 """
 
+from collections.abc import Iterator
 from enum import Enum
 from enum import unique
 
@@ -14,6 +15,17 @@
     """Base of every error of siskinsail."""
 
 
+def each_failure(
+    group: BaseExceptionGroup[SiskinsailError],
+) -> Iterator[SiskinsailError]:
+    """Return the failures of a group and of the groups in it."""
+    for failure in group.exceptions:
+        if isinstance(failure, BaseExceptionGroup):
+            yield from each_failure(failure)
+        else:
+            yield failure
+
+
 class SettingsError(SiskinsailError):
     """One or more settings are wrong.
 
