Share what pools and the choice of replicas have in common

Both kinds of pool have one base, and both choices of a replica one list of those that may serve, from an index of the view by group: the choice went through every database of the fleet for each read. The checks of all entries together stand once; a metric that nothing observed and a method without a caller are gone.

--- a/libs/backend/siskinsail_backend/__init__.py
+++ b/libs/backend/siskinsail_backend/__init__.py
@@ -28,5 +28,6 @@
 from ._queue import Waiter as Waiter
 from ._replica_chooser import Candidate as Candidate
 from ._replica_chooser import ReplicaChooser as ReplicaChooser
+from ._serving_replicas import serving_replicas as serving_replicas
 from ._settings import BackendSettings as BackendSettings
 from ._term_history import TermHistory as TermHistory
--- a/libs/backend/siskinsail_backend/_account_pool.py
+++ b/libs/backend/siskinsail_backend/_account_pool.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from typing import Generic
 from typing import Protocol
 from typing import TypeVar
 
@@ -23,10 +22,10 @@
 from ._failures import ConnectionFailedError
 from ._failures import DatabaseError
 from ._failures import PoolClosedError
+from ._pool_base import PoolBase
 from ._queue import QueueLimits
 from ._queue import Waiter
 from ._settings import BackendSettings
-from ._waiting import WaitingRequests
 
 _CLOSE_CHECK_S = 1.0
 
@@ -69,7 +68,7 @@
 _OPENING = _Opening()
 
 
-class AccountPool(Generic[ConnectionT]):
+class AccountPool(PoolBase[ConnectionT]):
     """Opens connections on demand, up to the number lent to this daemon.
 
     A database is told the client account when a connection is made, so a
@@ -105,29 +104,20 @@
         limits: QueueLimits,
         clock: Clock,
     ) -> None:
-        self.database = server.database
-        self.remote = Address.parse(server.address)
+        super().__init__(
+            server.database,
+            Address.parse(server.address),
+            settings,
+            allowance,
+            evidence,
+            limits,
+            clock,
+        )
         self._server = server
-        self._settings = settings
         self._connect = connect
-        self._allowance = allowance
-        self._evidence = evidence
-        self._limits = limits
-        self._clock = clock
-        self._waiting = WaitingRequests(settings.queue_policy, limits, clock)
         # The most recently used connection comes last.
         self._idle: dict[ConnectionT, float] = {}
-        self._in_use: dict[ConnectionT, float] = {}
         self._opening = 0
-        self._closing: list[ConnectionT] = []
-        self._closed = False
-        self._wake = anyio.Event()
-        self._opened = 0
-
-    @property
-    def server(self) -> BackendServer:
-        """The database as it announced itself when the pool was made."""
-        return self._server
 
     @property
     def open_connections(self) -> int:
@@ -139,11 +129,6 @@
             + len(self._closing)
         )
 
-    @property
-    def busy_connections(self) -> int:
-        """Connections that requests hold now."""
-        return len(self._in_use)
-
     @property
     def idle_connections(self) -> int:
         """Connections that are open and free."""
@@ -154,21 +139,6 @@
         """Connections that would all be busy now."""
         return len(self._in_use) + self._opening + len(self._waiting)
 
-    @property
-    def opened_connections(self) -> int:
-        """Connections made since the start."""
-        return self._opened
-
-    @property
-    def waiting(self) -> int:
-        """Requests in the queue."""
-        return len(self._waiting)
-
-    @property
-    def is_closed(self) -> bool:
-        """Whether the pool takes no more requests."""
-        return self._closed
-
     @property
     def is_used(self) -> bool:
         """Whether the pool has connections or may open some."""
@@ -247,17 +217,6 @@
         if len(self._waiting):
             self._serve_queue()
 
-    def reroute_waiters(self) -> None:
-        """Send all waiting requests back to choose a database again."""
-        self._waiting.reroute()
-
-    def close(self) -> None:
-        """Take no more requests; connections in use close on release."""
-        self._closed = True
-        self.reroute_waiters()
-        self._discard_idle()
-        self._wake.set()
-
     async def run(self) -> None:
         """Close what was discarded or is idle for too long, until closed."""
         try:
@@ -268,11 +227,7 @@
                 with anyio.move_on_after(_CLOSE_CHECK_S):
                     await self._wake.wait()
         finally:
-            self._closed = True
-            self._discard_idle()
-            self._closing.extend(self._in_use)
-            with anyio.CancelScope(shield=True):
-                await self._close_discarded()
+            await self._close_all()
 
     @property
     def _held(self) -> int:
@@ -286,9 +241,6 @@
     def _has_room(self) -> bool:
         return bool(self._idle) or self._excess < 0
 
-    def _allowed(self) -> int:
-        return self._allowance.allowed_connections(self.database)
-
     def _may_keep(self) -> bool:
         return not self._closed and self._excess < 0
 
@@ -336,7 +288,6 @@
                 self._serve_queue()
         if isinstance(opened, Success):
             connection = opened.unwrap()
-            self._opened += 1
             self._in_use[connection] = self._clock.now_s()
             return Success(connection)
         error = opened.failure()
--- a/libs/backend/siskinsail_backend/_pool.py
+++ b/libs/backend/siskinsail_backend/_pool.py
@@ -22,15 +22,15 @@
 from ._connect_pacing import ConnectPacing
 from ._connection import DatabaseConnection
 from ._failures import PoolClosedError
+from ._pool_base import PoolBase
 from ._queue import QueueLimits
 from ._queue import Waiter
 from ._settings import BackendSettings
-from ._waiting import WaitingRequests
 
 AcquireFailure = RequestError | PoolClosedError
 
 
-class ConnectionPool:
+class ConnectionPool(PoolBase[DatabaseConnection]):
     """Opens connections ahead of demand and lends them to requests.
 
     All connections that the allowance permits are kept open, so a request
@@ -69,22 +69,13 @@
         limits: QueueLimits,
         clock: Clock,
     ) -> None:
-        self.database = database
-        self.remote = remote
-        self._settings = settings
+        super().__init__(
+            database, remote, settings, allowance, evidence, limits, clock
+        )
         self._network = network
-        self._allowance = allowance
-        self._evidence = evidence
-        self._limits = limits
-        self._clock = clock
-        self._waiting = WaitingRequests(settings.queue_policy, limits, clock)
         self._idle: deque[DatabaseConnection] = deque()
-        self._in_use: dict[DatabaseConnection, float] = {}
         self._pinned = 0
         self._connecting = 0
-        self._closing: list[DatabaseConnection] = []
-        self._closed = False
-        self._wake = anyio.Event()
         self._pacing = ConnectPacing(settings, clock)
         # The allowance by which connections were last opened and closed.
         self._applied_allowance = 0
@@ -100,11 +91,6 @@
             + len(self._closing)
         )
 
-    @property
-    def busy_connections(self) -> int:
-        """Connections that requests hold now."""
-        return len(self._in_use)
-
     @property
     def idle_connections(self) -> int:
         """Connections that a request would get at once."""
@@ -115,11 +101,6 @@
         """Connections that would all be busy now."""
         return len(self._in_use) + len(self._waiting)
 
-    @property
-    def waiting(self) -> int:
-        """Requests in the queue."""
-        return len(self._waiting)
-
     @property
     def new_connection_waits(self) -> int:
         """Requests of all pools that waited for a new connection."""
@@ -143,11 +124,6 @@
         """
         return self._pinned < max(1, self._allowed() - 1)
 
-    @property
-    def is_closed(self) -> bool:
-        """Whether the pool takes no more requests."""
-        return self._closed
-
     @property
     def is_used(self) -> bool:
         """Whether the pool has connections or may open some."""
@@ -231,17 +207,6 @@
         if self._allowed() != self._applied_allowance:
             self._wake.set()
 
-    def reroute_waiters(self) -> None:
-        """Send all waiting requests back to choose a database again."""
-        self._waiting.reroute()
-
-    def close(self) -> None:
-        """Take no more requests; connections in use close on release."""
-        self._closed = True
-        self.reroute_waiters()
-        self._discard_idle()
-        self._wake.set()
-
     async def run(self) -> None:
         """Keep as many connections open as are allowed, until closed."""
         try:
@@ -253,11 +218,7 @@
                         await self._wake.wait()
                 tasks.cancel_scope.cancel()
         finally:
-            self._closed = True
-            self._discard_idle()
-            self._closing.extend(self._in_use)
-            with anyio.CancelScope(shield=True):
-                await self._close_discarded()
+            await self._close_all()
 
     async def _maintain(self, tasks: anyio.abc.TaskGroup) -> float:
         """Open and close connections; return when to look again, in s."""
@@ -348,9 +309,6 @@
     def _usable(self) -> int:
         return len(self._in_use) - self._pinned + len(self._idle)
 
-    def _allowed(self) -> int:
-        return self._allowance.allowed_connections(self.database)
-
     def _missing(self) -> int:
         missing = max(0, self._applied_allowance - self.open_connections)
         return self._pacing.openable(missing, self._connecting)
--- a/libs/backend/siskinsail_backend/_replica_chooser.py
+++ b/libs/backend/siskinsail_backend/_replica_chooser.py
@@ -17,6 +17,7 @@
 from ._messages import ExecuteAnswer
 from ._pool import ConnectionPool
 from ._pools import DatabasePools
+from ._serving_replicas import serving_replicas
 from ._term_history import TermHistory
 
 # A replica that refused a read as too stale is tried after the others for
@@ -182,28 +183,20 @@
         self, view: View, service: ServiceId, position: Position
     ) -> bool:
         """Tell whether every database of a service is past a position."""
-        backends = [item for item in view.backends if item.group == service]
+        backends = view.group_members.get(service, ())
         return bool(backends) and all(
             self._applied(backend) > position for backend in backends
         )
 
     def _replicas(self, view: View, service: ServiceId) -> list[Candidate]:
-        group = view.group_states.get(service)
-        if group is None:
+        if service not in view.group_states:
             return []
-        found = []
-        for backend in view.backends:
-            if (
-                backend.group != service
-                or backend.database == group.primary
-                or backend.role is DatabaseRole.PRIMARY
-                or not view.takes_new_work(backend)
-            ):
-                continue
-            pool = self._pools.pool(backend.database)
-            if pool is not None and pool.can_serve:
-                found.append(Candidate(backend, pool))
-        return found
+        return [
+            Candidate(server, pool)
+            for server, pool in serving_replicas(
+                view, service, self._pools.pool
+            )
+        ]
 
     def _least_term(self, view: View, service: ServiceId) -> Term:
         group = view.group_states.get(service)
--- a/libs/catalogue/siskinsail_catalogue/_state.py
+++ b/libs/catalogue/siskinsail_catalogue/_state.py
@@ -322,7 +322,12 @@
     mistakes = _request_mistakes(change)
     for entry in change.puts:
         mistakes += entry_mistakes(entry)
-    mistakes += reference_mistakes(entries)
+    return mistakes + _whole_mistakes(entries)
+
+
+def _whole_mistakes(entries: dict[EntryKey, Entry]) -> list[Mistake]:
+    """Return what is wrong with all entries together."""
+    mistakes = list(reference_mistakes(entries))
     if len(entries) > MAX_ENTRIES:
         message = f'more than {MAX_ENTRIES} entries'
         mistakes.append(Mistake('', '', '', message))
@@ -344,11 +349,7 @@
             kind = entry_kind(entry).value
             mistakes.append(Mistake(kind, entry.name, '', 'not declared here'))
         mistakes += entry_mistakes(entry)
-    mistakes += reference_mistakes({**kept, **wanted})
-    if len(wanted) + len(kept) > MAX_ENTRIES:
-        message = f'more than {MAX_ENTRIES} entries'
-        mistakes.append(Mistake('', '', '', message))
-    return mistakes
+    return mistakes + _whole_mistakes({**kept, **wanted})
 
 
 def _request_mistakes(change: CatalogueChange) -> list[Mistake]:
--- a/libs/catalogue/siskinsail_catalogue/_view.py
+++ b/libs/catalogue/siskinsail_catalogue/_view.py
@@ -163,6 +163,14 @@
         """Announced databases by id."""
         return {backend.database: backend for backend in self.backends}
 
+    @cached_property
+    def group_members(self) -> dict[ServiceId, tuple[BackendServer, ...]]:
+        """Announced databases by service."""
+        members: dict[ServiceId, tuple[BackendServer, ...]] = {}
+        for backend in self.backends:
+            members[backend.group] = (*members.get(backend.group, ()), backend)
+        return members
+
     @cached_property
     def data_centres_out(self) -> frozenset[DataCentreId]:
         """Data centres that take no new work."""
--- a/libs/proxy/tests/conftest.py
+++ b/libs/proxy/tests/conftest.py
@@ -8,6 +8,7 @@
 import pytest
 from returns.result import Failure
 from returns.result import Success
+from view_source import Views
 
 from siskinsail_backend import BackendSettings
 from siskinsail_backend import DatabasePools
@@ -20,7 +21,6 @@
 from siskinsail_catalogue import KeyEntry
 from siskinsail_catalogue import RouteEntry
 from siskinsail_catalogue import ServiceEntry
-from siskinsail_catalogue import View
 from siskinsail_net import HttpConnection
 from siskinsail_net import HttpRequest
 from siskinsail_net import TcpNetwork
@@ -30,7 +30,6 @@
 from siskinsail_types import ErrorCode
 from siskinsail_types import GroupPhase
 from siskinsail_types import KeyState
-from siskinsail_types import LeaseState
 from siskinsail_types import RequestError
 from siskinsail_types import RouteAccess
 from siskinsail_types import RouteMode
@@ -41,28 +40,6 @@
 KEYS = {'agent-key': 'agents', 'depot-key': 'depots'}
 
 
-class Views:
-    """A view source that tests set."""
-
-    def __init__(self):
-        self.view = View(0, 0)
-        self.lease_state = LeaseState.HELD
-        self.lease_gap_s = 0.0
-        self._changed = anyio.Event()
-
-    def change(self, **parts):
-        version = self.view.version + 1
-        self.view = msgspec.structs.replace(
-            self.view, version=version, **parts
-        )
-        self._changed.set()
-        self._changed = anyio.Event()
-
-    async def wait_for_change(self, version):
-        while self.view.version == version:
-            await self._changed.wait()
-
-
 class Limiter:
     """Admits everyone but the accounts that are ``over``."""
 
--- a/libs/statements/siskinsail_statements/_metrics.py
+++ b/libs/statements/siskinsail_statements/_metrics.py
@@ -53,9 +53,3 @@
             ('reason',),
             registry=registry,
         )
-        self.sample_age = Histogram(
-            'siskinsail_position_sample_age_seconds',
-            'Age of the position sample that a read on a replica used.',
-            buckets=_SECONDS,
-            registry=registry,
-        )
--- a/libs/statements/siskinsail_statements/_positions.py
+++ b/libs/statements/siskinsail_statements/_positions.py
@@ -78,7 +78,3 @@
             (position for sent_s, position in self._samples if sent_s >= at_s),
             None,
         )
-
-    def clear(self) -> None:
-        """Forget everything, after a change of primary."""
-        self._samples.clear()
--- a/libs/statements/siskinsail_statements/_replicas.py
+++ b/libs/statements/siskinsail_statements/_replicas.py
@@ -6,11 +6,11 @@
 
 from siskinsail_backend import AccountPool
 from siskinsail_backend import PoolTable
+from siskinsail_backend import serving_replicas
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import View
 from siskinsail_types import Clock
 from siskinsail_types import DatabaseId
-from siskinsail_types import DatabaseRole
 from siskinsail_types import DataCentreId
 from siskinsail_types import Position
 from siskinsail_types import ServiceId
@@ -77,20 +77,8 @@
         Those that lacked the position, or an earlier one, a moment ago are
         left out: the primary has it.
         """
-        group = view.group_states.get(service)
-        primary = None if group is None else group.primary
         ranked: list[tuple[tuple[bool, float], StatementPool]] = []
-        for server in view.backends:
-            if (
-                server.group != service
-                or server.database == primary
-                or server.role is DatabaseRole.PRIMARY
-                or not view.takes_new_work(server)
-            ):
-                continue
-            pool = self._pools.pool(server.database)
-            if pool is None or not pool.can_serve:
-                continue
+        for server, pool in serving_replicas(view, service, self._pools.pool):
             known = self._knowledge(server.database)
             if self._lacks(known, wanted):
                 continue
--- a/libs/statements/tests/statement_group.py
+++ b/libs/statements/tests/statement_group.py
@@ -6,10 +6,10 @@
 
 import anyio
 import anyio.lowlevel
-import msgspec
 from prometheus_client import CollectorRegistry
 from returns.result import Failure
 from returns.result import Success
+from view_source import Views
 
 from siskinsail_backend import BackendSettings
 from siskinsail_backend import ConnectionFailedError
@@ -21,7 +21,6 @@
 from siskinsail_catalogue import RouteEntry
 from siskinsail_catalogue import ServiceEntry
 from siskinsail_catalogue import SessionPolicy
-from siskinsail_catalogue import View
 from siskinsail_statements import Begin
 from siskinsail_statements import Commit
 from siskinsail_statements import digest_of
@@ -42,7 +41,6 @@
 from siskinsail_types import DatabaseRole
 from siskinsail_types import ErrorCode
 from siskinsail_types import GroupPhase
-from siskinsail_types import LeaseState
 from siskinsail_types import LogIndex
 from siskinsail_types import Position
 from siskinsail_types import RequestError
@@ -247,28 +245,6 @@
             self.state = TransactionState.FAILED
 
 
-class Views:
-    """A view source that tests set."""
-
-    def __init__(self):
-        self.view = View(0, 0)
-        self.lease_state = LeaseState.HELD
-        self.lease_gap_s = 0.0
-        self._changed = anyio.Event()
-
-    def change(self, **parts):
-        version = self.view.version + 1
-        self.view = msgspec.structs.replace(
-            self.view, version=version, **parts
-        )
-        self._changed.set()
-        self._changed = anyio.Event()
-
-    async def wait_for_change(self, version):
-        while self.view.version == version:
-            await self._changed.wait()
-
-
 class Limiter:
     """Admits everyone but the accounts that are ``over``."""
 
