--- a/libs/control/siskinsail_control/_membership.py
+++ b/libs/control/siskinsail_control/_membership.py
@@ -41,6 +41,8 @@
         self._settings = settings
         self._clock = clock
         self._records: dict[DatabaseId, _Record] = {}
+        # Databases by address, since each announcement asks who has it.
+        self._at_address: dict[str, dict[DatabaseId, None]] = {}
         # Silent databases are kept here: they are fenced all the same.
         self._known: dict[DatabaseId, BackendServer] = {}
         self._groups: dict[ServiceId, dict[DatabaseId, None]] = {}
@@ -112,6 +114,7 @@
         record = self._records.pop(database, None)
         if record is None:
             return False
+        self._leave_address(record.latest)
         self._departed[database] = record.latest
         if len(self._departed) > MAX_KNOWN:
             del self._departed[next(iter(self._departed))]
@@ -127,6 +130,7 @@
         ]
         for record in silent:
             del self._records[record.latest.database]
+            self._leave_address(record.latest)
             if record.other is not None and record.other_s > limit_s:
                 self._add(record.other, record.other_s)
         return bool(silent)
@@ -210,23 +214,28 @@
         ):
             return True
         return any(
-            other.latest.address == server.address
-            and other.latest.database != server.database
-            and other.latest.incarnation > server.incarnation
-            for other in self._records.values()
+            other.incarnation > server.incarnation
+            for other in self._others_at_address(server)
         )
 
     def _drop_predecessor(self, server: BackendServer) -> None:
         """Drop a database whose address an announcement shows taken."""
-        gone = [
-            other.latest.database
-            for other in self._records.values()
-            if other.latest.address == server.address
-            and other.latest.database != server.database
-            and other.latest.incarnation < server.incarnation
+        for other in self._others_at_address(server):
+            if other.incarnation < server.incarnation:
+                self.depart(other.database)
+
+    def _others_at_address(self, server: BackendServer) -> list[BackendServer]:
+        return [
+            self._records[database].latest
+            for database in self._at_address.get(server.address, ())
+            if database != server.database
         ]
-        for database in gone:
-            self.depart(database)
+
+    def _leave_address(self, server: BackendServer) -> None:
+        databases = self._at_address[server.address]
+        del databases[server.database]
+        if not databases:
+            del self._at_address[server.address]
 
     def _note(
         self,
@@ -243,7 +252,11 @@
         is_full = len(self._known) >= MAX_KNOWN
         if is_full and server.database not in self._known:
             return False
+        earlier = self._records.get(server.database)
+        if earlier is not None:
+            self._leave_address(earlier.latest)
         self._records[server.database] = _Record(server, server, heard_s)
+        self._at_address.setdefault(server.address, {})[server.database] = None
         before = self._known.get(server.database)
         if before is not None and before.group != server.group:
             del self._groups[before.group][server.database]
--- a/libs/control/siskinsail_control/_state.py
+++ b/libs/control/siskinsail_control/_state.py
@@ -77,6 +77,7 @@
         self._token_secrets: tuple[bytes, ...] = ()
         # False for daemons that are suspended.
         self._daemons: dict[DaemonKey, bool] = {}
+        self._active: frozenset[DaemonKey] | None = None
         self._had_daemons = False
         self._on_change: Callable[[], None] | None = None
 
@@ -107,9 +108,12 @@
     @property
     def active_daemons(self) -> frozenset[DaemonKey]:
         """Daemons that may hold leases and tokens."""
-        return frozenset(
-            key for key, is_active in self._daemons.items() if is_active
-        )
+        # Each sync call asks for them, and they seldom change.
+        if self._active is None:
+            self._active = frozenset(
+                key for key, is_active in self._daemons.items() if is_active
+            )
+        return self._active
 
     def is_active(self, key: DaemonKey) -> bool:
         """Tell whether a daemon may hold leases and tokens."""
@@ -151,6 +155,7 @@
         self._groups = {group.group: group for group in loaded.groups}
         self._token_secrets = loaded.token_secrets
         self._daemons = dict(loaded.daemons)
+        self._active = None
         self._had_daemons = loaded.had_daemons
         self._changed()
 
@@ -231,6 +236,7 @@
     @_apply.register
     def _(self, command: RegisterDaemon) -> bytes:
         self._daemons[command.vm, command.incarnation] = True
+        self._active = None
         self._had_daemons = True
         return ACCEPTED
 
@@ -240,9 +246,11 @@
         if key not in self._daemons:
             return REJECTED
         self._daemons[key] = False
+        self._active = None
         return ACCEPTED
 
     @_apply.register
     def _(self, command: DeregisterDaemon) -> bytes:
         self._daemons.pop((command.vm, command.incarnation), None)
+        self._active = None
         return ACCEPTED
--- a/libs/limits/siskinsail_limits/_lender.py
+++ b/libs/limits/siskinsail_limits/_lender.py
@@ -164,11 +164,8 @@
             for account in self._accounts.values():
                 self._refill(account, now_s)
                 account.forget_unknown()
-        elif borrower in self._answered_s and borrower not in self._ended:
-            self._ended.add(borrower)
-            for account in self._accounts.values():
-                self._refill(account, now_s)
-                account.end(borrower)
+        elif borrower in self._answered_s:
+            self._end(borrower, now_s)
 
     def exchange(
         self, borrower: str, reports: list[LoanReport]
@@ -199,11 +196,7 @@
         for borrower, answered_s in list(self._answered_s.items()):
             if now_s - answered_s < loan_s:
                 continue
-            if borrower not in self._ended:
-                self._ended.add(borrower)
-                for account in self._accounts.values():
-                    self._refill(account, now_s)
-                    account.end(borrower)
+            self._end(borrower, now_s)
             if now_s - answered_s >= _FORGET_PERIODS * loan_s:
                 self._forget(borrower)
         if self._has_begun and now_s - self._begun_s >= loan_s:
@@ -286,6 +279,15 @@
             len(self._awaited),
         )
 
+    def _end(self, borrower: str, now_s: float) -> None:
+        """End the loans of a borrower, unless they have ended before."""
+        if borrower in self._ended:
+            return
+        self._ended.add(borrower)
+        for account in self._accounts.values():
+            self._refill(account, now_s)
+            account.end(borrower)
+
     def _end_reserves(self) -> None:
         if not self._awaited:
             return
