--- a/libs/bench/tests/test_report.py
+++ b/libs/bench/tests/test_report.py
@@ -3,6 +3,7 @@
 import contextlib
 from pathlib import Path
 import subprocess
+import sys
 import time
 
 import pytest
@@ -102,6 +103,28 @@
         run.kill()
 
 
+SIGNAL_AT_ONCE = """
+import os, signal, sys
+import anyio
+from siskinsail_bench._report_signals import run_until_terminated
+
+async def work():
+    os.kill(os.getpid(), signal.SIGTERM)
+    await anyio.sleep(20)
+
+options = {'use_uvloop': True}
+sys.exit(not anyio.run(run_until_terminated, work, backend_options=options))
+"""
+
+
+def test_a_run_is_ended_in_order_from_its_first_step():
+    # Fails if SIGTERM finds processes that were started before it is caught.
+    run = subprocess.run(
+        [sys.executable, '-c', SIGNAL_AT_ONCE], timeout=20, check=False
+    )
+    assert run.returncode == 1
+
+
 def _processes_of(folder):
     """Return the processes that name ``folder``, the run among them."""
     found = []
--- a/tests/test_mutation_rows.py
+++ b/tests/test_mutation_rows.py
@@ -8,7 +8,9 @@
 from run_mutations import ROOT
 
 
-@pytest.mark.parametrize('mutation', mutations([]), ids=lambda row: row.name)
+@pytest.mark.parametrize(
+    'mutation', list(mutations([])), ids=lambda row: row.name
+)
 def test_a_row_finds_the_text_that_it_replaces(mutation: Mutation):
     # Fails if a mechanism can no longer be switched off as its row says.
     for file, old, _ in mutation.replacements:
