--- a/libs/consensus/siskinsail_consensus/_election.py
+++ b/libs/consensus/siskinsail_consensus/_election.py
@@ -192,6 +192,7 @@
             if membership.is_majority(granted):
                 tasks.cancel_scope.cancel()
         state.deferral.own_request = None
+        state.is_restart = is_unheard
         if is_unheard:
             # The earlier leader ended before the process after it began.
             began_s = max((state.heard_s, *self._unheard.values()))
--- a/libs/consensus/siskinsail_consensus/_replica.py
+++ b/libs/consensus/siskinsail_consensus/_replica.py
@@ -150,6 +150,14 @@
         state = self._state
         return math.inf if state is None else state.earlier_lease_end_s
 
+    @property
+    def is_restart(self) -> bool:
+        """Whether all members had restarted when this one was elected.
+
+        Means something only while it leads.
+        """
+        return self._state is not None and self._state.is_restart
+
     def members(self) -> tuple[MemberStatus, ...]:
         """Return the committed membership, for operators."""
         state = self._state
--- a/libs/consensus/siskinsail_consensus/_state.py
+++ b/libs/consensus/siskinsail_consensus/_state.py
@@ -149,6 +149,8 @@
         # Whether this process has led or heard a leader.
         self.has_heard = False
         self.earlier_lease_end_s = math.inf
+        # Whether all members had restarted when this one was elected.
+        self.is_restart = False
         # Disks of members that would take the place of a lost one, and when
         # they announced themselves.
         self._candidates: dict[VmId, tuple[DiskId, float]] = {}
--- a/libs/control/siskinsail_control/_connection_lender.py
+++ b/libs/control/siskinsail_control/_connection_lender.py
@@ -275,8 +275,8 @@
             pool.holdings[daemon].bound
             for daemon in pool.holdings.keys() & self._lapsed
         )
-        total = max(0, pool.total - kept - self._unheard)
-        targets = self._targets(pool, total)
+        total = self._lendable(pool.total) - kept - self._unheard
+        targets = self._targets(pool, max(0, total))
         for daemon in targets.keys() | pool.holdings.keys() - self._lapsed:
             holding = self._holding(database, daemon)
             holding.target = targets.get(daemon, 0)
@@ -286,6 +286,11 @@
                 self._pending[daemon].discard(database)
             self._tidy(database, daemon, holding)
 
+    def _lendable(self, total: int) -> int:
+        """Return the connections of a database less the reserve."""
+        reserve = int(total * self._settings.connection_reserve)
+        return max(min(total, len(self._order)), total - reserve)
+
     def _targets(self, pool: _Pool, total: int) -> dict[DaemonKey, int]:
         """Divide connections; daemons that are left out get none."""
         order = self._order
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -81,6 +81,7 @@
             frozenset(map(borrower_name, state.active_daemons)),
             is_first=not state.had_daemons,
             lent_until_s=self._context.replica.earlier_lease_end_s,
+            is_restart=self._context.replica.is_restart,
         )
         self._context.publish()
         self._take_catalogue()
--- a/libs/control/siskinsail_control/_replica_port.py
+++ b/libs/control/siskinsail_control/_replica_port.py
@@ -55,6 +55,11 @@
         """
         ...
 
+    @property
+    def is_restart(self) -> bool:
+        """Whether all members had restarted when this one was elected."""
+        ...
+
     def members(self) -> tuple[MemberStatus, ...]:
         """Return the committed membership."""
         ...
--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -76,6 +76,14 @@
     demand_s: Seconds = Field(
         2.0, description='how long a peak of wanted connections counts'
     )
+    connection_reserve: Annotated[float, Field(ge=0, lt=1)] = Field(
+        0.0,
+        description=(
+            'part of the connections of a database that is kept for daemons '
+            'that restart while it still counts those of lost processes; '
+            'each daemon has one first'
+        ),
+    )
     equal_connection_shares: bool = Field(
         False, description='baseline: static equal shares of connections'
     )
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -97,6 +97,10 @@
     def earlier_lease_end_s(self) -> float:
         return math.inf
 
+    @property
+    def is_restart(self) -> bool:
+        return False
+
     def has_leader_lease(self) -> bool:
         return self.is_leader and self._log.has_lease
 
--- a/libs/control/tests/test_connection_lender.py
+++ b/libs/control/tests/test_connection_lender.py
@@ -97,6 +97,29 @@
         assert min(shares) == 1
 
 
+@pytest.mark.parametrize(
+    ('daemons', 'lent'),
+    [
+        (2, TOTAL - 4),
+        (4, TOTAL - 4),
+        # One each comes before the reserve, while the total suffices.
+        (8, 8),
+        (12, TOTAL),
+    ],
+)
+def test_a_reserve_is_kept_for_processes_that_restart(daemons: int, lent: int):
+    # Fails if all connections are lent: after a loss of power a database
+    # counts them for seconds and refuses those of the processes that start.
+    settings = ControlSettings(connection_reserve=0.4)
+    lender = ConnectionLender(settings, ManualClock())
+    lender.set_totals({'db': TOTAL})
+    fleet = [_Daemon(str(number)) for number in range(daemons)]
+    for daemon in fleet:
+        daemon.wanted = TOTAL
+    _settle(lender, fleet)
+    assert sum(daemon.allowed for daemon in fleet) == lent
+
+
 def test_a_registered_daemon_that_never_called_keeps_one():
     lender = ConnectionLender(ControlSettings(), ManualClock())
     lender.set_totals({'db': TOTAL})
--- a/libs/limits/siskinsail_limits/_lender.py
+++ b/libs/limits/siskinsail_limits/_lender.py
@@ -54,6 +54,7 @@
         self._ended: set[str] = set()
         self._awaited: set[str] = set()
         self._is_first = False
+        self._is_restart = False
         self._has_begun = False
         self._has_limits = False
         self._begun_s = 0.0
@@ -102,6 +103,7 @@
         *,
         is_first: bool = False,
         lent_until_s: float = math.inf,
+        is_restart: bool = False,
     ) -> None:
         """Start to lend as a new leader.
 
@@ -114,12 +116,16 @@
         lent_until_s : float
             Time on this leader's clock after which no earlier leader lent;
             the time since then counts at the rate. By default none does.
+        is_restart : bool
+            Whether the process of every earlier leader has ended. Requests
+            that waited for the restart may use the tolerated overrun.
         """
         now_s = self._clock.now_s()
         self._answered_s.clear()
         self._ended.clear()
         self._awaited = set(known_borrowers)
         self._is_first = is_first
+        self._is_restart = is_restart
         self._has_limits = bool(self._accounts)
         self._has_begun = True
         self._begun_s = self._expired_s = now_s
@@ -270,6 +276,9 @@
         else:
             opened_s = self._begun_s
             earned = limit.rate * (self._begun_s - self._lent_until_s)
+            if self._is_restart:
+                overrun = self._settings.overrun(limit)
+                earned += overrun * self._settings.restart_share
         return AccountLoans(
             limit.rate,
             limit.burst,
--- a/libs/limits/siskinsail_limits/_overdraft.py
+++ b/libs/limits/siskinsail_limits/_overdraft.py
@@ -38,11 +38,7 @@
             return False
         while self._taken_s and self._taken_s[0] <= now_s - window_s:
             self._taken_s.popleft()
-        admitted = limit.rate * window_s + limit.burst
-        overrun = (
-            admitted * self._settings.overdraft_share
-            + self._settings.overdraft_tokens
-        )
+        overrun = self._settings.overrun(limit)
         if len(self._taken_s) + 1 > overrun / daemons:
             return False
         self._taken_s.append(now_s)
--- a/libs/limits/siskinsail_limits/_settings.py
+++ b/libs/limits/siskinsail_limits/_settings.py
@@ -63,6 +63,10 @@
         Tolerated overrun in a window over all daemons: a share of what the
         limit allows in it, and tokens besides. Daemons that reach no lender
         divide it equally.
+    restart_share : float
+        Part of the tolerated overrun that a lender may lend after all its
+        predecessors' processes ended: it does not know for how long nothing
+        ran, and counts the burst as spent.
     overdraft_after_s : float
         Time without an answer of the lender after which a request may use
         the tolerated overrun.
@@ -82,5 +86,13 @@
     overdraft_window_s: float = 0.0
     overdraft_share: float = 0.0
     overdraft_tokens: float = 0.0
+    restart_share: float = 1.0
     # Several round trips between regions.
     overdraft_after_s: float = 0.15
+
+    def overrun(self, limit: AccountLimit) -> float:
+        """Return the tokens above a limit that are tolerated in a window."""
+        if self.overdraft_window_s <= 0:
+            return 0.0
+        admitted = limit.rate * self.overdraft_window_s + limit.burst
+        return admitted * self.overdraft_share + self.overdraft_tokens
--- a/libs/limits/tests/test_lender.py
+++ b/libs/limits/tests/test_lender.py
@@ -239,3 +239,29 @@
     assert borrower.try_acquire(ACCOUNT)
     balance = borrower.begin_registration()[ACCOUNT]
     assert balance == LoanBalance(1, 2)
+
+
+@pytest.mark.parametrize(
+    ('is_restart', 'window_s', 'level'),
+    [
+        # The rate since the earlier leader ended, and the tolerated overrun.
+        (True, 5.0, 10.0 + 0.1 * (5.0 * 10.0 + 30.0) + 4.0),
+        (False, 5.0, 10.0),
+        (True, 0.0, 10.0),
+    ],
+)
+def test_a_lender_after_a_restart_lends_the_tolerated_overrun(
+    is_restart: bool, window_s: float, level: float
+):
+    # Fails if callers that waited for a restart of the whole fleet are
+    # refused, although nothing ran while it was down.
+    clock = ManualClock()
+    settings = LimitSettings(
+        overdraft_window_s=window_s, overdraft_share=0.1, overdraft_tokens=4.0
+    )
+    lender = Lender(settings, clock)
+    lender.set_limits({ACCOUNT: Limit()})
+    lender.begin(
+        frozenset(), lent_until_s=clock.now_s() - 1.0, is_restart=is_restart
+    )
+    assert lender.levels()[ACCOUNT].level == pytest.approx(level)
