Pace requests to a database that refuses for its load

Each daemon holds three connections for 77 accounts, so an attempt opens one, which takes a slot for 12 ms, and its statement is then refused; four rounds over three databases followed, and the callers' own retries.

A refusal now spaces the requests of this daemon to that database, with pauses that double up to 0.4 s and shrink with each answer. Requests wait for it in the fair queue, or are refused at once where their deadline cannot be met. Attempts after a refusal use the budget of retries.

--- a/libs/backend/siskinsail_backend/_account_pool.py
+++ b/libs/backend/siskinsail_backend/_account_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 from typing import Protocol
 from typing import TypeVar
 
@@ -22,6 +23,7 @@
 from ._failures import ConnectionFailedError
 from ._failures import DatabaseError
 from ._failures import PoolClosedError
+from ._pacing import Pacing
 from ._pool_base import PoolBase
 from ._queue import QueueLimits
 from ._queue import Waiter
@@ -118,6 +120,7 @@
         # The most recently used connection comes last.
         self._idle: dict[ConnectionT, float] = {}
         self._opening = 0
+        self._pacing = Pacing(clock, random.random)
 
     @property
     def open_connections(self) -> int:
@@ -152,6 +155,9 @@
     @property
     def expected_wait_s(self) -> float:
         """Time that a request would wait here, in seconds."""
+        if self._pacing.pause_s:
+            paced_s = len(self._waiting) * self._pacing.pause_s
+            return self._pacing.wait_s + paced_s
         if self._has_room:
             return 0.0
         return self._waiting.expected_wait_s(
@@ -181,17 +187,29 @@
         """
         if not self.can_serve:
             return Failure(PoolClosedError(self.database))
-        if not len(self._waiting):
+        if not len(self._waiting) and self._has_room and self._pacing.take():
             found = self._take_idle(waiter.account, preferred)
             if found is not None:
                 return Success(found)
             if self._make_room():
                 return await self._open(waiter)
-        refusal = self._waiting.refuse_early(waiter, self._allowed())
+        refusal = self._waiting.refuse_early(
+            waiter, self._allowed(), self._pacing.pause_s
+        )
         if refusal is not None:
             return Failure(refusal)
+        if self._pacing.pause_s:
+            self._wake.set()
         return await self._wait_in_queue(waiter)
 
+    def note_overloaded(self) -> None:
+        """Note that the database refused a statement for its load."""
+        self._pacing.note_refused()
+
+    def note_served(self) -> None:
+        """Note that the database answered a statement."""
+        self._pacing.note_served()
+
     def release(self, connection: ConnectionT) -> None:
         """Take a connection back; one that is not reusable is closed.
 
@@ -224,11 +242,19 @@
                 self._wake = anyio.Event()
                 self._discard_old()
                 await self._close_discarded()
-                with anyio.move_on_after(_CLOSE_CHECK_S):
+                self._grant_waiting()
+                with anyio.move_on_after(self._idle_s):
                     await self._wake.wait()
         finally:
             await self._close_all()
 
+    @property
+    def _idle_s(self) -> float:
+        """Time after which the pool must be looked at again."""
+        if len(self._waiting) and self._pacing.wait_s:
+            return min(_CLOSE_CHECK_S, self._pacing.wait_s)
+        return _CLOSE_CHECK_S
+
     @property
     def _held(self) -> int:
         return len(self._idle) + len(self._in_use) + self._opening
@@ -298,10 +324,18 @@
             code=error.code,
             reason=error.message,
         )
-        if isinstance(error, ConnectionFailedError) and not error.is_timeout:
-            self._evidence.database_unreachable(self.database)
+        self._note_failed_open(error, limit_s)
         return Failure(error)
 
+    def _note_failed_open(self, error: DatabaseError, limit_s: float) -> None:
+        if not isinstance(error, ConnectionFailedError):
+            return
+        if not error.is_timeout:
+            self._evidence.database_unreachable(self.database)
+        elif limit_s >= self._settings.connect_timeout_s:
+            # Other connections would wait behind this one.
+            self._pacing.note_refused()
+
     async def _wait_in_queue(
         self, waiter: Waiter
     ) -> Result[ConnectionT, AccountAcquireFailure]:
@@ -333,7 +367,15 @@
             self.release(waiter.grant)  # type: ignore[arg-type]
 
     def _serve_queue(self) -> None:
+        self._grant_waiting()
+        if len(self._waiting) and self._pacing.pause_s:
+            # The task of the pool serves the queue after the pause.
+            self._wake.set()
+
+    def _grant_waiting(self) -> None:
         while len(self._waiting) and self._has_room:
+            if not self._pacing.take():
+                return
             waiter = self._waiting.pop()
             if waiter is None:
                 return
--- a/libs/backend/siskinsail_backend/_waiting.py
+++ b/libs/backend/siskinsail_backend/_waiting.py
@@ -58,10 +58,20 @@
         """
         return ahead * self._service_s / max(usable, 1)
 
-    def refuse_early(self, waiter: Waiter, usable: int) -> RequestError | None:
-        """Return a refusal if the deadline cannot be met."""
+    def refuse_early(
+        self, waiter: Waiter, usable: int, pause_s: float = 0.0
+    ) -> RequestError | None:
+        """Return a refusal if the deadline cannot be met.
+
+        Parameters
+        ----------
+        usable : int
+            Connections that serve the queue.
+        pause_s : float
+            Time between two requests, 0 where nothing holds them.
+        """
         turns = self._queue.turns_before(waiter) + 1
-        wait_s = self.expected_wait_s(turns, usable)
+        wait_s = max(self.expected_wait_s(turns, usable), turns * pause_s)
         if self._clock.now_s() + wait_s > waiter.deadline_s:
             return _overloaded('the deadline cannot be met')
         return None
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -222,6 +222,7 @@
             )
 
         rounds = 0
+        self._budget.note_request()
         while True:
             found = await self._primaries.wait(
                 operation.service, operation.deadline_s
@@ -261,7 +262,8 @@
             )
         if isinstance(error, StatementError):
             if error.code is StatementErrorCode.BUSY:
-                return error if rounds >= _MAX_BUSY_ROUNDS else None
+                may_retry = rounds < _MAX_BUSY_ROUNDS and self._budget.take()
+                return None if may_retry else self._overloaded(target)
             if error.code is not StatementErrorCode.READ_ONLY:
                 return error
         if self._left_s(operation) <= 0:
@@ -309,7 +311,7 @@
                     return Success((target, attempt.unwrap()))
                 error = attempt.failure()
                 self._note_failure(operation, target, error)
-                last, is_final = self._judge_read(error)
+                last, is_final = self._judge_read(target, error)
                 if is_final or self._left_s(operation) <= 0:
                     return Failure(last)
                 if isinstance(error, _UnansweredError):
@@ -322,12 +324,16 @@
                 return Failure(last or _no_database())
             await self._pause(busy_rounds)
 
-    def _judge_read(self, error: _AttemptError) -> tuple[StatementError, bool]:
+    def _judge_read(
+        self, target: _Target, error: _AttemptError
+    ) -> tuple[StatementError, bool]:
         """Return the error for the caller, and whether it is final."""
         if isinstance(error, RequestError):
             return busy(error), False
         if isinstance(error, StatementError):
             is_final = error.code in _FINAL
+            if error.code is StatementErrorCode.BUSY:
+                return self._overloaded(target), not self._budget.take()
             if error.code is StatementErrorCode.FAILED:
                 is_final = not self._budget.take()
             return error, is_final
@@ -401,7 +407,10 @@
             spent_s = self._clock.now_s() - sent_s
             self._replicas.note_answer(database, reply.position, spent_s)
         if reply.error is not None:
+            if reply.error.code is StatementErrorCode.BUSY:
+                target.pool.note_overloaded()
             return Failure(reply.error)
+        target.pool.note_served()
         operation.served_by = 'primary' if target.is_primary else 'replica'
         return Success(reply)
 
@@ -441,6 +450,13 @@
             left_s=round(self._left_s(operation), 3),
         )
 
+    def _overloaded(self, target: _Target) -> StatementError:
+        """Return the refusal of what a database has no room for."""
+        wait_s = max(_BUSY_RETRY_S, target.pool.expected_wait_s)
+        return StatementError(
+            StatementErrorCode.BUSY, 'the database is overloaded', wait_s
+        )
+
     def _targets(
         self, operation: Operation, needs_primary: bool
     ) -> list[_Target]:
