Serve sooner after a restart of the whole fleet, and answer in time first

The new leader had heard of none of the databases (the last announced itself at 36.99 s), and lent no connections until all daemons had called. Then all reads queued at primaries, since no position was known.

- Databases are kept in the replicated log, and a new leader recalls them for half an announcement.
They count as no sign of life.
- A daemon that holds nothing gets one connection of each database at once, out of the reserve that no earlier leader has lent.
- Reads that wait for a primary are sent to replicas when the first answer tells a position.
- Within an account, requests that can still meet their latency objective are served first, by priority, and late ones after them by deadline.

Tests fail without each change.

--- a/libs/backend/siskinsail_backend/_queue.py
+++ b/libs/backend/siskinsail_backend/_queue.py
@@ -11,6 +11,8 @@
 
 _SLACK = 32
 
+_Entry = tuple[int, float, int, 'Waiter']
+
 
 @unique
 class QueuePolicy(Enum):
@@ -31,16 +33,36 @@
         Account weight times class weight.
     deadline_s : float
         Latest time at which the request is of use.
+    objective_s : float or None
+        Time by which it should be answered; the deadline by default.
+    priority : int
+        Order among the requests of an account; 0 comes first.
     """
 
-    __slots__ = ('account', 'deadline_s', 'done', 'grant', 'left', 'weight')
+    __slots__ = (
+        'account',
+        'deadline_s',
+        'done',
+        'grant',
+        'left',
+        'objective_s',
+        'priority',
+        'weight',
+    )
 
     def __init__(
-        self, account: AccountId, weight: float, deadline_s: float
+        self,
+        account: AccountId,
+        weight: float,
+        deadline_s: float,
+        objective_s: float | None = None,
+        priority: int = 0,
     ) -> None:
         self.account = account
         self.weight = weight
         self.deadline_s = deadline_s
+        self.objective_s = deadline_s if objective_s is None else objective_s
+        self.priority = priority
         self.done = anyio.Event()
         self.grant: object | None = None
         self.left = False
@@ -106,7 +128,7 @@
         """Add a request."""
         ...
 
-    def pop(self) -> Waiter | None:
+    def pop(self, now_s: float) -> Waiter | None:
         """Take the request to serve next, None when there is none."""
         ...
 
@@ -132,7 +154,7 @@
         """Add a request at the end."""
         self._waiters[waiter] = None
 
-    def pop(self) -> Waiter | None:
+    def pop(self, now_s: float) -> Waiter | None:
         """Take the first request."""
         first = next(iter(self._waiters), None)
         if first is not None:
@@ -149,14 +171,55 @@
 
 
 class _AccountQueue:
-    """Waiting requests of one client account, by deadline."""
+    """Waiting requests of one client account.
+
+    Those that can still meet their objective come first, by priority and
+    objective: an answer that is late already loses less by waiting on. The
+    others follow by priority and deadline.
+    """
 
-    __slots__ = ('count', 'heap', 'weight')
+    __slots__ = ('_late', '_timely', 'count', 'weight')
 
-    def __init__(self) -> None:
-        self.heap: list[tuple[float, int, Waiter]] = []
+    def __init__(self, weight: float) -> None:
+        self._timely: list[_Entry] = []
+        self._late: list[_Entry] = []
         self.count = 0
-        self.weight = 1.0
+        self.weight = weight
+
+    def push(self, waiter: Waiter, sequence: int) -> None:
+        """Add a request."""
+        entry = (waiter.priority, waiter.objective_s, sequence, waiter)
+        heapq.heappush(self._timely, entry)
+        self.count += 1
+
+    def pop(self, now_s: float) -> Waiter | None:
+        """Take the next request that still waits."""
+        while self._timely:
+            _, objective_s, sequence, waiter = heapq.heappop(self._timely)
+            if waiter.left:
+                continue
+            if objective_s >= now_s:
+                return waiter
+            entry = (waiter.priority, waiter.deadline_s, sequence, waiter)
+            heapq.heappush(self._late, entry)
+        while self._late:
+            waiter = heapq.heappop(self._late)[3]
+            if not waiter.left:
+                return waiter
+        return None
+
+    def tidy(self) -> None:
+        """Drop requests that left, once they are most of the entries.
+
+        Without this, callers that give up would fill the heaps while no
+        connection is free.
+        """
+        if len(self._timely) + len(self._late) <= 2 * self.count + _SLACK:
+            return
+        self._timely = [entry for entry in self._timely if not entry[3].left]
+        self._late = [entry for entry in self._late if not entry[3].left]
+        heapq.heapify(self._timely)
+        heapq.heapify(self._late)
 
 
 class FairQueue:
@@ -164,7 +227,8 @@
 
     Each account has the start tag of its next request; the smallest start
     tag is served next, and a served request moves its account's tag on by
-    one over its weight. Within an account the earliest deadline comes first.
+    one over its weight. The order within an account is that of
+    ``_AccountQueue``.
 
     References
     ----------
@@ -189,20 +253,19 @@
         waiter.left = False
         queue = self._accounts.get(waiter.account)
         if queue is None:
-            queue = self._accounts[waiter.account] = _AccountQueue()
-            queue.weight = waiter.weight
+            queue = _AccountQueue(waiter.weight)
+            self._accounts[waiter.account] = queue
             self._weight_sum += waiter.weight
             self._schedule(waiter.account)
-        heapq.heappush(queue.heap, (waiter.deadline_s, self._sequence, waiter))
-        queue.count += 1
+        queue.push(waiter, self._sequence)
         self._length += 1
 
-    def pop(self) -> Waiter | None:
-        """Take the earliest deadline of the account that is due."""
+    def pop(self, now_s: float) -> Waiter | None:
+        """Take the first request of the account that is due."""
         while self._order:
             start, _, account = heapq.heappop(self._order)
             queue = self._accounts[account]
-            waiter = _first(queue)
+            waiter = queue.pop(now_s)
             if waiter is None:
                 self._forget(account)
                 continue
@@ -227,11 +290,7 @@
         waiter.left = True
         queue.count -= 1
         self._length -= 1
-        # Without this, callers that give up would fill the heap while no
-        # connection is free.
-        if len(queue.heap) > 2 * queue.count + _SLACK:
-            queue.heap = [entry for entry in queue.heap if not entry[2].left]
-            heapq.heapify(queue.heap)
+        queue.tidy()
 
     def turns_before(self, waiter: Waiter) -> float:
         """Estimate from the account's own queue and its share."""
@@ -253,14 +312,6 @@
         self._weight_sum -= self._accounts.pop(account).weight
 
 
-def _first(queue: _AccountQueue) -> Waiter | None:
-    while queue.heap:
-        waiter = heapq.heappop(queue.heap)[2]
-        if not waiter.left:
-            return waiter
-    return None
-
-
 def new_queue(policy: QueuePolicy) -> RequestQueue:
     """Return an empty queue of a policy."""
     return FairQueue() if policy is QueuePolicy.FAIR else FifoQueue()
--- a/libs/backend/siskinsail_backend/_waiting.py
+++ b/libs/backend/siskinsail_backend/_waiting.py
@@ -103,8 +103,9 @@
 
     def pop(self) -> Waiter | None:
         """Take the next request that a connection can still serve."""
-        while (waiter := self._queue.pop()) is not None:
-            if waiter.deadline_s - self._clock.now_s() >= _MIN_USE_S:
+        now_s = self._clock.now_s()
+        while (waiter := self._queue.pop(now_s)) is not None:
+            if waiter.deadline_s - now_s >= _MIN_USE_S:
                 return waiter
         return None
 
@@ -114,7 +115,8 @@
 
     def reroute(self) -> None:
         """End the wait of all requests without a connection."""
-        while (waiter := self._queue.pop()) is not None:
+        now_s = self._clock.now_s()
+        while (waiter := self._queue.pop(now_s)) is not None:
             waiter.grant = None
             waiter.done.set()
 
--- a/libs/backend/tests/test_queue.py
+++ b/libs/backend/tests/test_queue.py
@@ -11,7 +11,7 @@
 
 
 def _served(queue, turns):
-    return [queue.pop().account for _ in range(turns)]
+    return [queue.pop(0.0).account for _ in range(turns)]
 
 
 @pytest.mark.parametrize(
@@ -50,7 +50,7 @@
     order = _served(queue, 104)
     last = max(order.index(name) for name in 'abcd')
     assert last < worst_turn
-    assert queue.pop() is None
+    assert queue.pop(0.0) is None
 
 
 def test_an_idle_account_saves_no_credit():
@@ -70,7 +70,31 @@
     queue = FairQueue()
     for deadline_s in (3, 1, 2):
         queue.push(Waiter('a', 1, deadline_s))
-    assert [queue.pop().deadline_s for _ in range(3)] == [1, 2, 3]
+    assert [queue.pop(0.0).deadline_s for _ in range(3)] == [1, 2, 3]
+
+
+@pytest.mark.parametrize(
+    ('now_s', 'order'),
+    [
+        # Everything can still meet its objective: by priority, then time.
+        (0.0, ['urgent', 'early', 'late']),
+        # What was missed already waits behind what can be met.
+        (1.5, ['late', 'urgent', 'early']),
+        (9.0, ['urgent', 'late', 'early']),
+    ],
+)
+def test_requests_that_can_meet_their_objective_come_first(now_s, order):
+    # Fails if a backlog after an outage makes every later answer late too.
+    queue = FairQueue()
+    for account, deadline_s, objective_s, priority in (
+        ('early', 8.0, 1.0, 1),
+        ('late', 7.0, 3.0, 1),
+        ('urgent', 9.0, 1.2, 0),
+    ):
+        waiter = Waiter('a', 1, deadline_s, objective_s, priority)
+        waiter.grant = account
+        queue.push(waiter)
+    assert [queue.pop(now_s).grant for _ in order] == order
 
 
 @pytest.mark.parametrize('queue', [FairQueue(), FifoQueue()])
@@ -83,8 +107,8 @@
         queue.remove(waiter)
         queue.remove(waiter)
     assert len(queue) == 1
-    assert queue.pop() is waiters[-1]
-    assert queue.pop() is None
+    assert queue.pop(0.0) is waiters[-1]
+    assert queue.pop(0.0) is None
     assert len(queue) == 0
 
 
--- a/libs/control/siskinsail_control/_commands.py
+++ b/libs/control/siskinsail_control/_commands.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import CatalogueChange
 from siskinsail_types import DatabaseId
 from siskinsail_types import DataCentreId
@@ -94,6 +95,21 @@
     incarnation: str
 
 
+class RememberDatabases(msgspec.Struct, frozen=True, tag=True):
+    """Note which databases there are, for a leader that hears of none yet.
+
+    Parameters
+    ----------
+    changed : tuple of BackendServer
+        Databases that are new or have changed.
+    gone : tuple of DatabaseId
+        Databases that have ended or fallen silent.
+    """
+
+    changed: tuple[BackendServer, ...]
+    gone: tuple[DatabaseId, ...] = ()
+
+
 Command = (
     LeaderStarted
     | ApplyCatalogue
@@ -106,6 +122,7 @@
     | RegisterDaemon
     | SuspendDaemon
     | DeregisterDaemon
+    | RememberDatabases
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/libs/control/siskinsail_control/_connection_lender.py
+++ b/libs/control/siskinsail_control/_connection_lender.py
@@ -36,6 +36,8 @@
     total: int = 0
     # Sum of the bounds of all holdings.
     bound: int = 0
+    # Connections lent before those of the earlier leader were known.
+    early: int = 0
     # Daemons that have no holding hold and want nothing.
     holdings: dict[DaemonKey, _Holding] = field(default_factory=dict)
 
@@ -184,6 +186,45 @@
         self._untold.discard(daemon)
         return allowances
 
+    def may_lend_early(self, daemon: DaemonKey) -> bool:
+        """Tell whether ``lend_early`` has something for a daemon."""
+        return bool(self._early_databases(daemon))
+
+    def lend_early(self, daemon: DaemonKey) -> dict[DatabaseId, int]:
+        """Lend a daemon that holds nothing one connection of each database.
+
+        Nothing else is lent before it is known what other daemons hold;
+        these come out of the reserve, which no earlier leader has lent.
+        """
+        for database in self._early_databases(daemon):
+            self._pools[database].early += 1
+            holding = self._holding(database, daemon)
+            holding.lent = 1
+            self._set_bound(database, holding, 1)
+        return {
+            database: holding.lent
+            for database in self._held[daemon]
+            if (holding := self._holding(database, daemon)).lent
+        }
+
+    def _early_databases(self, daemon: DaemonKey) -> list[DatabaseId]:
+        if daemon not in self._reported or self._holds_other(daemon):
+            return []
+        return [
+            database
+            for database, pool in self._pools.items()
+            if pool.early < self._reserve(pool.total)
+            and database not in self._held[daemon]
+        ]
+
+    def _holds_other(self, daemon: DaemonKey) -> bool:
+        """Tell whether a daemon holds what was not lent early."""
+        return any(
+            self._pools[database].holdings[daemon].bound > 1
+            or not self._pools[database].early
+            for database in self._held[daemon]
+        )
+
     def bounds(self, database: DatabaseId) -> dict[DaemonKey, int]:
         """Return what each daemon may hold of a database at most."""
         pool = self._pools.get(database, _Pool())
@@ -288,8 +329,10 @@
 
     def _lendable(self, total: int) -> int:
         """Return the connections of a database less the reserve."""
-        reserve = int(total * self._settings.connection_reserve)
-        return max(min(total, len(self._order)), total - reserve)
+        return max(min(total, len(self._order)), total - self._reserve(total))
+
+    def _reserve(self, total: int) -> int:
+        return int(total * self._settings.connection_reserve)
 
     def _targets(self, pool: _Pool, total: int) -> dict[DaemonKey, int]:
         """Divide connections; daemons that are left out get none."""
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -23,6 +23,7 @@
 from ._group_watch import WatchedGroup
 from ._leader_context import LeaderContext
 from ._loan_ports import TokenLender
+from ._memory import DatabaseMemory
 from ._messages import Allowance
 from ._messages import BorrowAnswer
 from ._messages import BorrowRequest
@@ -83,11 +84,14 @@
             lent_until_s=self._context.replica.earlier_lease_end_s,
             is_restart=self._context.replica.is_restart,
         )
+        memory = DatabaseMemory(self._context)
+        memory.recall()
         self._context.publish()
         self._take_catalogue()
         state.watch(self._state_changed)
         try:
             async with anyio.create_task_group() as tasks:
+                tasks.start_soon(memory.run)
                 while self._context.is_active:
                     await self._tick(tasks)
                     await anyio.sleep(self._settings.tick_s)
@@ -276,12 +280,15 @@
             record.sequence != request.sequence
             or not self._context.is_active
             or request.view_version != self._context.view_log.version
-            or (
-                self._lends_connections
-                and self._connections.pending(record.key)
-            )
+            or self._has_connections(record.key)
         )
 
+    def _has_connections(self, key: DaemonKey) -> bool:
+        """Tell whether a daemon must be told its connections."""
+        if self._lends_connections:
+            return self._connections.pending(key)
+        return self._connections.may_lend_early(key)
+
     @property
     def _lends_connections(self) -> bool:
         # Connections lent by an earlier leader are known only when each
@@ -307,6 +314,8 @@
             self._connections.rebalance()
             if self._connections.pending(record.key):
                 allowances = self._connections.lend(record.key)
+        elif self._connections.may_lend_early(record.key):
+            allowances = self._connections.lend_early(record.key)
         self._table.grant(record)
         view = self._context.view_log.encoded_delta(
             ViewVersion(request.view_version)
@@ -385,7 +394,7 @@
         self._connections.set_registered(self._context.state.daemons)
         self._connections.rebalance()
         for record in self._table.leased:
-            if self._connections.pending(record.key):
+            if self._has_connections(record.key):
                 record.wake.set()
 
     async def _retire_silent_daemons(self) -> None:
--- a/libs/control/siskinsail_control/_membership.py
+++ b/libs/control/siskinsail_control/_membership.py
@@ -1,5 +1,6 @@
 """Backend servers as they announce themselves, and signs of life."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -72,6 +73,22 @@
             if record.other is not None and record.other_s > limit_s
         )
 
+    def recall(self, servers: Iterable[BackendServer]) -> None:
+        """Take databases that an earlier leader had heard of.
+
+        They stay for half as long as an announcement, and are no sign of
+        life.
+        """
+        for server in servers:
+            self.hear(server, self._settings.announcement_s / 2)
+
+    def memorable(self) -> dict[DatabaseId, BackendServer]:
+        """Return the members as a later leader should recall them."""
+        return {
+            database: _lasting(record.published)
+            for database, record in self._records.items()
+        }
+
     def hear(self, server: BackendServer, age_s: float) -> bool:
         """Take an announcement; return whether the members changed.
 
--- a/libs/control/siskinsail_control/_state.py
+++ b/libs/control/siskinsail_control/_state.py
@@ -5,10 +5,12 @@
 
 import msgspec
 
+from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import CatalogueState
 from siskinsail_catalogue import ChangeAnswer
 from siskinsail_catalogue import decode_configuration
 from siskinsail_catalogue import GroupState
+from siskinsail_types import DatabaseId
 from siskinsail_types import GroupPhase
 from siskinsail_types import ServiceId
 from siskinsail_types import VmId
@@ -22,6 +24,7 @@
 from ._commands import PlaceDataCentre
 from ._commands import RegisterDaemon
 from ._commands import RegisterGroup
+from ._commands import RememberDatabases
 from ._commands import ReplaceConfiguration
 from ._commands import StartPrimaryChange
 from ._commands import SuspendDaemon
@@ -51,6 +54,7 @@
     token_secrets: tuple[bytes, ...]
     daemons: list[tuple[DaemonKey, bool]]
     had_daemons: bool
+    databases: tuple[BackendServer, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -79,6 +83,7 @@
         self._daemons: dict[DaemonKey, bool] = {}
         self._active: frozenset[DaemonKey] | None = None
         self._had_daemons = False
+        self._databases: dict[DatabaseId, BackendServer] = {}
         self._on_change: Callable[[], None] | None = None
 
     @property
@@ -124,6 +129,11 @@
         """Whether any daemon was ever registered."""
         return self._had_daemons
 
+    @property
+    def databases(self) -> dict[DatabaseId, BackendServer]:
+        """Databases that an earlier leader had heard of."""
+        return self._databases
+
     def watch(self, on_change: Callable[[], None] | None) -> None:
         """Call ``on_change`` after each change that shows in the view."""
         self._on_change = on_change
@@ -145,6 +155,7 @@
                 self._token_secrets,
                 list(self._daemons.items()),
                 self._had_daemons,
+                tuple(self._databases.values()),
             )
         )
 
@@ -157,6 +168,7 @@
         self._daemons = dict(loaded.daemons)
         self._active = None
         self._had_daemons = loaded.had_daemons
+        self._databases = {one.database: one for one in loaded.databases}
         self._changed()
 
     def _changed(self) -> None:
@@ -254,3 +266,11 @@
         self._daemons.pop((command.vm, command.incarnation), None)
         self._active = None
         return ACCEPTED
+
+    @_apply.register
+    def _(self, command: RememberDatabases) -> bytes:
+        for server in command.changed:
+            self._databases[server.database] = server
+        for database in command.gone:
+            self._databases.pop(database, None)
+        return ACCEPTED
--- a/libs/control/tests/test_connection_lender.py
+++ b/libs/control/tests/test_connection_lender.py
@@ -120,6 +120,29 @@
     assert sum(daemon.allowed for daemon in fleet) == lent
 
 
+def test_daemons_that_hold_nothing_get_the_reserve_early():
+    # Fails if daemons that have just started wait until all others have
+    # called: one that does not come back would hold up the whole fleet.
+    settings = ControlSettings(connection_reserve=0.3)
+    lender = ConnectionLender(settings, ManualClock())
+    lender.set_totals({'db': TOTAL})
+    holder = _Daemon('holder')
+    holder.allowed = holder.open = 2
+    lender.report(holder.key, holder.report())
+    assert not lender.may_lend_early(holder.key)
+    fleet = [_Daemon(str(number)) for number in range(4)]
+    for daemon in fleet:
+        lender.report(daemon.key, [])
+        if lender.may_lend_early(daemon.key):
+            daemon.allowed = lender.lend_early(daemon.key).get('db', 0)
+            lender.report(daemon.key, daemon.report(), changes_only=True)
+        assert not lender.may_lend_early(daemon.key)
+    assert [daemon.allowed for daemon in fleet] == [1, 1, 1, 0]
+    _settle(lender, [holder, *fleet])
+    assert sum(daemon.allowed for daemon in [holder, *fleet]) <= TOTAL
+    assert all(daemon.allowed for daemon in fleet)
+
+
 def test_a_registered_daemon_that_never_called_keeps_one():
     lender = ConnectionLender(ControlSettings(), ManualClock())
     lender.set_totals({'db': TOTAL})
--- a/libs/control/tests/test_fleet.py
+++ b/libs/control/tests/test_fleet.py
@@ -35,6 +35,7 @@
 from .conftest import OPERATOR_KEY
 from .conftest import SECRET
 from .conftest import wait_until
+from .test_membership import SERVER
 
 pytestmark = pytest.mark.anyio
 
@@ -414,3 +415,19 @@
     following = dict(itertools.pairwise(events))
     assert following[Status.NOT_LEADER, 'm1'] != 'pause', events
     assert following[Status.NOT_REGISTERED, 'm1'][0] is Status.OK, events
+
+
+async def test_a_new_leader_recalls_the_databases_of_the_last(fleet):
+    # Fails if each leader starts without databases and daemons wait until
+    # these announce themselves again.
+    agent = fleet.start_agent('vm')
+    await wait_until(lambda: agent.lease_state is LeaseState.HELD)
+    agent.hear(SERVER)
+    states = fleet.log.states
+    await wait_until(lambda: all(one.databases for one in states))
+    fleet.kill('vm')
+    fleet.log.elect('m1')
+    leader = fleet.services['m1']
+    await wait_until(lambda: leader.leadership is not None)
+    membership = leader.leadership.context.membership
+    assert membership.known_server(SERVER.database) is not None
--- a/libs/control/tests/test_membership.py
+++ b/libs/control/tests/test_membership.py
@@ -120,3 +120,26 @@
     later = msgspec.structs.replace(server, sequence=8)
     assert not membership.hear(later, 0.0)
     assert [one.database for one in membership.servers] == ['db9']
+
+
+def test_recalled_databases_stay_for_a_while_and_prove_nothing():
+    # Fails if daemons know no database after a restart of all control
+    # members, or if a primary that is down seems alive because of it.
+    membership, clock = _membership()
+    primary = msgspec.structs.replace(SERVER, role=DatabaseRole.PRIMARY)
+    membership.recall([primary])
+    assert membership.servers == (primary,)
+    assert membership.evidence_s('db', 1) < clock.now_s()
+    clock.advance(0.4)
+    assert not membership.expire()
+    clock.advance(0.2)
+    assert membership.expire()
+    assert membership.memorable() == {}
+
+
+def test_an_announcement_replaces_what_was_recalled():
+    membership, _ = _membership()
+    membership.recall([SERVER])
+    leaving = msgspec.structs.replace(SERVER, leaving=True, sequence=1)
+    assert membership.hear(leaving, 0.0)
+    assert membership.memorable()['db'].leaving
--- a/libs/control/tests/test_state.py
+++ b/libs/control/tests/test_state.py
@@ -1,5 +1,6 @@
 """Guards the replicated state: terms, snapshots, registration."""
 
+import msgspec
 import pytest
 
 from siskinsail_catalogue import CatalogueChange
@@ -14,9 +15,11 @@
 from siskinsail_control import RegisterGroup
 from siskinsail_control import StartPrimaryChange
 from siskinsail_control import SuspendDaemon
+from siskinsail_control._commands import RememberDatabases
 from siskinsail_types import GroupPhase
 
 from .conftest import account
+from .test_membership import SERVER
 
 HISTORY = [
     LeaderStarted(),
@@ -31,6 +34,8 @@
     RegisterDaemon('vm', '2'),
     SuspendDaemon('vm', '1'),
     DeregisterDaemon('vm', '2'),
+    RememberDatabases((SERVER, msgspec.structs.replace(SERVER, database='x'))),
+    RememberDatabases((), ('x',)),
 ]
 
 
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -366,7 +366,14 @@
         """
         pool = target.pool
         caller = operation.admitted.caller
-        waiter = Waiter(caller.account, caller.weight, end_s)
+        policy = operation.admitted.policy
+        waiter = Waiter(
+            caller.account,
+            caller.weight,
+            end_s,
+            operation.received_s + policy.latency_objective_s,
+            policy.priority,
+        )
         acquired = await pool.acquire(waiter)
         if isinstance(acquired, Failure):
             return Failure(acquired.failure())
@@ -418,8 +425,15 @@
         self, service: ServiceId, position: Position | None, sent_s: float
     ) -> None:
         """Take a position that a primary in force told."""
-        if position is not None:
-            self.samples(service).note(position, sent_s)
+        if position is None:
+            return
+        samples = self.samples(service)
+        is_first = sent_s - samples.newest_s > self._settings.samples_stale_s
+        samples.note(position, sent_s)
+        primary = self._primaries.find(service) if is_first else None
+        if primary is not None:
+            # Reads wait for the primary that replicas can serve from now on.
+            primary.reroute_waiters()
 
     def _note_failure(
         self, operation: Operation, target: _Target, error: _AttemptError
--- a/libs/statements/siskinsail_statements/_settings.py
+++ b/libs/statements/siskinsail_statements/_settings.py
@@ -27,6 +27,9 @@
         reads is asked for another one, in seconds.
     sample_demand_s : float
         How long a read counts as recent, in seconds.
+    samples_stale_s : float
+        Age of the newest position sample from which on reads are taken to
+        wait for the primary, in seconds.
     samples_kept_s : float
         How long position samples are kept; the greatest age that a read on
         a replica can use, in seconds.
@@ -54,6 +57,7 @@
     retry_pause_s: float = 0.02
     sample_age_s: float = 0.6
     sample_demand_s: float = 3.0
+    samples_stale_s: float = 1.2
     samples_kept_s: float = 10.0
     lease_wait_s: float = 1.5
     token_wait_s: float = 0.4
--- a/libs/statements/tests/test_reads.py
+++ b/libs/statements/tests/test_reads.py
@@ -135,3 +135,17 @@
         for _ in range(20):
             await anyio.sleep(0.1)
             assert await served_by(group, session, READ) in REPLICAS
+
+
+async def test_reads_leave_the_primary_once_a_position_is_known():
+    # Fails if all reads that arrive before the first answer of a new primary
+    # wait for it, although replicas could serve them after that answer.
+    async with new_group(connections=1) as group:
+        group.databases['d0'].delay_s = 0.2
+        sessions = [await group.open('bounded') for _ in range(6)]
+        async with anyio.create_task_group() as tasks:
+            for session in sessions:
+                tasks.start_soon(session.execute, 'r', READ)
+        served = [run.database for run in group.runs]
+        assert len(served) == len(sessions)
+        assert sum(name in PRIMARY for name in served) == 1
