Disturb the connections of the soak by a loopback proxy

Daemons and databases of a soak run listen behind a proxy, which delays, resets, silences or holds the bytes of their connections in one direction. These faults are drawn with the others, so they overlap with kills, freezes, disks and operators.

--- a/libs/bench/siskinsail_bench/_database_server.py
+++ b/libs/bench/siskinsail_bench/_database_server.py
@@ -130,7 +130,7 @@
             'group': settings.group,
             'database': settings.database,
             'data_centre': settings.data_centre,
-            'address': str(self._address),
+            'address': str(self._settings.announced_address or self._address),
             'admin_address': str(self._admin_address),
             'term': member.term,
             'log_term': member.log.last_term,
--- a/libs/bench/siskinsail_bench/_database_settings.py
+++ b/libs/bench/siskinsail_bench/_database_settings.py
@@ -20,6 +20,9 @@
     ----------
     address, admin_address : Address
         Data port and administration port; port 0 takes a free one.
+    announced_address : Address or None
+        Data port as it is announced, where another process listens in
+        front.
     operators : tuple of Address
         Operator ports of entry VMs that it announces itself to.
     role : DatabaseRole
@@ -49,6 +52,7 @@
     data_centre: DataCentreId
     address: Address = ANY_PORT
     admin_address: Address = ANY_PORT
+    announced_address: Address | None = None
     operators: tuple[Address, ...] = ()
     role: DatabaseRole = DatabaseRole.REPLICA
     primary: Address | None = None
--- a/libs/bench/siskinsail_bench/_fleet.py
+++ b/libs/bench/siskinsail_bench/_fleet.py
@@ -29,6 +29,7 @@
 from ._deployment import HostKind
 from ._deployment import PLATFORM_NUMBER
 from ._failure_summary import failure_summary
+from ._fault_proxy import FaultProxy
 from ._fleet_plan import BALANCER
 from ._fleet_plan import FleetPlan
 from ._operator import Operator
@@ -57,6 +58,9 @@
         Whether traffic between data centres and to callers is delayed.
     daemon_flags : tuple of str
         More flags for every daemon.
+    with_proxy : bool
+        Whether ``proxy`` stands in front of daemons and databases; it must
+        run before the processes start.
 
     Examples
     --------
@@ -72,6 +76,7 @@
         with_delays: bool = True,
         daemon_flags: tuple[str, ...] = (),
         clock: Clock | None = None,
+        with_proxy: bool = False,
     ) -> None:
         self._deployment = deployment
         self._folder = folder
@@ -89,7 +94,9 @@
             self._rules_file,
             key_digest(self._operator_key),
             daemon_flags,
+            with_proxy=with_proxy,
         )
+        self._proxy = FaultProxy(plan.links)
         self._addresses = plan.addresses
         self._processes = plan.processes
 
@@ -103,6 +110,11 @@
         """Processes by name."""
         return dict(self._processes)
 
+    @property
+    def proxy(self) -> FaultProxy:
+        """What stands in front of the processes; without links by default."""
+        return self._proxy
+
     @property
     def operator_key(self) -> Secret:
         """The key that operators present."""
--- a/libs/bench/siskinsail_bench/_fleet_plan.py
+++ b/libs/bench/siskinsail_bench/_fleet_plan.py
@@ -32,6 +32,9 @@
         Digest of the operator key.
     daemon_flags : tuple of str
         More flags for every daemon.
+    with_proxy : bool
+        Whether processes listen behind a proxy for the ports that others
+        connect to.
     """
 
     def __init__(
@@ -41,12 +44,16 @@
         rules_file: Path,
         operator_digest: str,
         daemon_flags: tuple[str, ...],
+        *,
+        with_proxy: bool = False,
     ) -> None:
         self._deployment = deployment
         self._folder = folder
         self._records = folder / 'records'
         self._rules_file = rules_file
         self._daemon_flags = daemon_flags
+        self._with_proxy = with_proxy
+        self._links: dict[tuple[str, str], tuple[Address, Address]] = {}
         self._environment = {
             'SISKINSAIL_FLEET_SECRET': secrets.token_urlsafe(24),
             'SISKINSAIL_OPERATOR_KEY_DIGEST': operator_digest,
@@ -70,6 +77,11 @@
         """Processes by name, databases first."""
         return self._processes
 
+    @property
+    def links(self) -> dict[tuple[str, str], tuple[Address, Address]]:
+        """Where proxied ports listen, and what is behind them."""
+        return self._links
+
     def _assign_addresses(self) -> None:
         for vm in self._deployment.vms:
             host = vm.data_centre.host(HostKind.ENTRY_VM, vm.number)
@@ -82,14 +94,27 @@
         self._take_ports(BALANCER, host, 'client')
 
     def _take_ports(self, name: str, host: str, *ports: str) -> None:
-        taken = {a for of in self._addresses.values() for a in of.values()}
         self._addresses[name] = {}
         for port in ports:
+            self._take_port(name, host, port)
+
+    def _take_port(self, name: str, host: str, port: str) -> None:
+        taken = {a for of in self._addresses.values() for a in of.values()}
+        address = free_address(host)
+        while address in taken:
             address = free_address(host)
-            while address in taken:
-                address = free_address(host)
-            taken.add(address)
-            self._addresses[name][port] = address
+        self._addresses[name][port] = address
+
+    def _listening(self, name: str, port: str) -> Address:
+        """Return where a process listens for a port that others know."""
+        public = self._addresses[name][port]
+        if not self._with_proxy:
+            return public
+        hidden = f'{port}-behind'
+        own = self._addresses[name]
+        self._take_port(name, public.host, hidden)
+        self._links[name, port] = (public, own[hidden])
+        return own[hidden]
 
     def _add(
         self,
@@ -115,7 +140,8 @@
             'database': name,
             'group': database.group,
             'data-centre': database.data_centre.name,
-            'address': own['data'],
+            'address': self._listening(name, 'data'),
+            'announced-address': own['data'],
             'admin-address': own['admin'],
             'operators': self._join_vm_ports('operator'),
             'role': 'primary' if database.is_primary else 'replica',
@@ -140,8 +166,8 @@
             'vm': vm.name,
             'data-centre': vm.data_centre.name,
             'region': vm.data_centre.region,
-            'client-address': own['client'],
-            'peer-address': own['peer'],
+            'client-address': self._listening(vm.name, 'client'),
+            'peer-address': self._listening(vm.name, 'peer'),
             'operator-address': own['operator'],
             'control-members': ','.join(peers),
             'log-file': self._folder / 'logs' / f'{vm.name}.jsonl',
--- a/libs/bench/siskinsail_bench/_main.py
+++ b/libs/bench/siskinsail_bench/_main.py
@@ -54,6 +54,7 @@
         data_centre: str,
         address: str,
         admin_address: str,
+        announced_address: str = '',
         operators: str = '',
         role: str = 'replica',
         primary: str = '',
@@ -74,6 +75,9 @@
             data_centre=DataCentreId(data_centre),
             address=Address.parse(address),
             admin_address=Address.parse(admin_address),
+            announced_address=(
+                Address.parse(announced_address) if announced_address else None
+            ),
             operators=_addresses(operators),
             role=DatabaseRole(role),
             primary=Address.parse(primary) if primary else None,
--- a/libs/bench/siskinsail_bench/_soak.py
+++ b/libs/bench/siskinsail_bench/_soak.py
@@ -81,13 +81,18 @@
 ) -> SoakReport:
     """Run one seed on a fleet of its own."""
     report = SoakReport(seed)
-    fleet = Fleet(_deployment(seed), folder, with_delays=False)
+    fleet = Fleet(
+        _deployment(seed), folder, with_delays=False, with_proxy=True
+    )
     clients = make_clients(ACCOUNTS)
     try:
         with anyio.fail_after(SEED_LIMIT_S):
-            async with fleet:
-                await fleet.wait_ready(READY_S)
-                await _SoakRun(fleet, clients, report).run(load_s)
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(fleet.proxy.run)
+                async with fleet:
+                    await fleet.wait_ready(READY_S)
+                    await _SoakRun(fleet, clients, report).run(load_s)
+                tasks.cancel_scope.cancel()
     except* (FleetError, ProtocolError, TimeoutError) as group:
         report.problems += [
             f'{type(error).__name__}: {error}' for error in _errors_of(group)
--- a/libs/bench/siskinsail_bench/_soak_failures.py
+++ b/libs/bench/siskinsail_bench/_soak_failures.py
@@ -12,6 +12,9 @@
 from siskinsail_types import Clock
 from siskinsail_types import ProtocolError
 
+from ._fault_proxy import FaultLink
+from ._fault_proxy import LinkFaults
+from ._fault_proxy import Way
 from ._fleet import Fleet
 from ._operator import Operator
 from ._process import WaitTimeoutError
@@ -22,6 +25,9 @@
 START_S = 6.0
 # Shorter and longer than the daemon lease and the detection time.
 DURATIONS_S = (0.5, 1.5, 3.0, 6.0)
+# A slow link, and one slower than the time limit of a sync call.
+DELAYS_S = (0.05, 1.0)
+RESET_PAUSE_S = 0.3
 # "Within seconds" in the design.
 IN_FORCE_S = 5.0
 STAY_OUT_S = 2.0
@@ -108,6 +114,10 @@
             self._stop_daemon,
             self._restart_all,
             self._lose_disk,
+            self._delay_connections,
+            self._reset_connections,
+            self._silence_connections,
+            self._hold_one_way,
         ]
         count = self._random.choice((2, 3))
         if self._random.random() < 0.25:
@@ -223,6 +233,35 @@
         await anyio.sleep(self._random.choice(DURATIONS_S))
         await self._fleet.heal(left, right)
 
+    def _link(self, what: str) -> FaultLink:
+        """Return the proxied port of a process, and note what befalls it."""
+        links = self._fleet.proxy.links
+        name = self._random.choice(sorted(links))
+        self.drawn.append(f'{what} of {name[0]} {name[1]}')
+        return links[name]
+
+    async def _delay_connections(self) -> None:
+        link = self._link('delay')
+        link.set_faults(LinkFaults(self._random.choice(DELAYS_S)))
+        await anyio.sleep(self._random.choice(DURATIONS_S))
+        link.set_faults(LinkFaults())
+
+    async def _reset_connections(self) -> None:
+        link = self._link('resets')
+        for _ in range(self._random.choice((1, 5))):
+            link.reset_all()
+            await anyio.sleep(RESET_PAUSE_S)
+
+    async def _silence_connections(self) -> None:
+        self._link('silence').silence_all()
+
+    async def _hold_one_way(self) -> None:
+        way = self._random.choice(list(Way))
+        link = self._link(f'bytes held {way.value}')
+        link.set_faults(LinkFaults(held=frozenset((way,))))
+        await anyio.sleep(self._random.choice(DURATIONS_S))
+        link.set_faults(LinkFaults())
+
     async def _withdraw_key(self) -> None:
         account = self._spare.account
         self.drawn.append(f'withdraw key of {account.name}')
