--- a/libs/telemetry/siskinsail_telemetry/__init__.py
+++ b/libs/telemetry/siskinsail_telemetry/__init__.py
@@ -5,6 +5,7 @@
 from ._logging import log_event as log_event
 from ._logging import LogFile as LogFile
 from ._logging import Sampler as Sampler
+from ._pipe_handler import PipeHandler as PipeHandler
 from ._redaction import redact as redact
 from ._redaction import REDACTED as REDACTED
 from ._timeline import merge_timeline as merge_timeline
--- a/libs/telemetry/siskinsail_telemetry/_logging.py
+++ b/libs/telemetry/siskinsail_telemetry/_logging.py
@@ -17,6 +17,7 @@
 from siskinsail_types import Clock
 from siskinsail_types import SystemClock
 
+from ._pipe_handler import PipeHandler
 from ._redaction import redact
 from ._timeline import TimelineFilter
 
@@ -153,9 +154,11 @@
     OSError
         If the file cannot be opened.
     """
+    clock = clock or SystemClock()
     handler: logging.Handler
     if file is None:
-        handler = logging.StreamHandler(sys.stdout)
+        sys.stdout.flush()
+        handler = PipeHandler(sys.stdout.fileno(), clock)
     else:
         handler = _RotatingFile(
             file.path,
@@ -163,9 +166,7 @@
             backupCount=file.kept,
             encoding='utf-8',
         )
-    log = EventLog(
-        handler, vm, data_centre, clock or SystemClock(), ring_events
-    )
+    log = EventLog(handler, vm, data_centre, clock, ring_events)
     eliot.add_destinations(log)
     return log
 
