--- a/libs/statements/siskinsail_statements/_context.py
+++ b/libs/statements/siskinsail_statements/_context.py
@@ -11,10 +11,10 @@
 from ._admission import Admitted
 from ._admission import SessionAdmission
 from ._metrics import StatementMetrics
+from ._operation import OpenTransaction
+from ._operation import Operation
 from ._outcome import SessionReply
 from ._outcome import StatementErrorCode
-from ._runner import OpenTransaction
-from ._runner import Operation
 from ._runner import StatementRunner
 from ._sampler import PositionSampler
 from ._settings import StatementSettings
--- a/libs/statements/siskinsail_statements/_sampler.py
+++ b/libs/statements/siskinsail_statements/_sampler.py
@@ -12,8 +12,8 @@
 from siskinsail_types import Consistency
 from siskinsail_types import ServiceId
 
+from ._operation import Operation
 from ._primaries import Primaries
-from ._runner import Operation
 from ._runner import StatementRunner
 from ._settings import StatementSettings
 from ._statement import Command
@@ -87,7 +87,7 @@
                 await anyio.sleep(_CHECK_INTERVAL_S)
 
     def _is_due(self, service: ServiceId, now_s: float) -> bool:
-        age_s = now_s - self._runner.samples(service).newest_s
+        age_s = now_s - self._runner.attempts.samples(service).newest_s
         return service not in self._asking and (
             age_s >= self._settings.sample_age_s
         )
@@ -110,7 +110,7 @@
             finally:
                 pool.release(connection)
             if isinstance(asked, Success):
-                self._runner.note_position(
+                self._runner.attempts.note_position(
                     service, asked.unwrap().position, sent_s
                 )
         finally:
--- a/libs/statements/siskinsail_statements/_session.py
+++ b/libs/statements/siskinsail_statements/_session.py
@@ -15,13 +15,13 @@
 from ._admission import Admitted
 from ._connection import ClientValues
 from ._context import SessionContext
+from ._operation import OpenTransaction
+from ._operation import Operation
 from ._outcome import Reply
 from ._outcome import SessionReply
 from ._outcome import StatementError
 from ._outcome import StatementErrorCode
 from ._outcome import TransactionState
-from ._runner import OpenTransaction
-from ._runner import Operation
 from ._statement import Begin
 from ._statement import CallerStatement
 from ._statement import Commit
@@ -381,7 +381,7 @@
             and reply.error is None
             and self._admitted is not None
         ):
-            self._context.runner.note_position(
+            self._context.runner.attempts.note_position(
                 self._admitted.route.service, reply.position, sent_s
             )
 
