Tell daemons all control members, and give a vote the time of its sync

Daemons called only the members that their settings name, until one of these named another leader.

The early connections are counted against what the leader before may have lent to all registered daemons.

--- a/libs/consensus/siskinsail_consensus/_election.py
+++ b/libs/consensus/siskinsail_consensus/_election.py
@@ -210,7 +210,11 @@
         """Return how long a voter had not heard a leader; None: no vote."""
         state = self._state
         request = with_fields(request, target_disk=member.disk_id)
-        timeout_s = state.settings.election_min_s / 2
+        # A vote is synced to disk first; a member that gave one does not
+        # stand itself before this has passed.
+        timeout_s = state.settings.election_min_s
+        if request.is_pre_vote:
+            timeout_s /= 2
         try:
             answer = await call_peer(state, peer, VOTE, request, timeout_s)
         except SiskinsailError:
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -357,6 +357,7 @@
                 leader_term=answer.leader_term,
             )
         self._leader_term = answer.leader_term
+        self._finder.learn(answer.members.splitlines())
         if answer.has_allowances:
             self._allowances.replace(
                 {one.database: one.allowed for one in answer.allowances}
--- a/libs/control/siskinsail_control/_connection_lender.py
+++ b/libs/control/siskinsail_control/_connection_lender.py
@@ -213,7 +213,7 @@
         return [
             database
             for database, pool in self._pools.items()
-            if pool.early < self._reserve(pool.total)
+            if pool.early < pool.total - self._lendable(pool.total)
             and database not in self._held[daemon]
         ]
 
@@ -329,10 +329,9 @@
 
     def _lendable(self, total: int) -> int:
         """Return the connections of a database less the reserve."""
-        return max(min(total, len(self._order)), total - self._reserve(total))
-
-    def _reserve(self, total: int) -> int:
-        return int(total * self._settings.connection_reserve)
+        reserve = int(total * self._settings.connection_reserve)
+        daemons = len(self._order) + self._unheard
+        return max(min(total, daemons), total - reserve)
 
     def _targets(self, pool: _Pool, total: int) -> dict[DaemonKey, int]:
         """Divide connections; daemons that are left out get none."""
--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -1,5 +1,6 @@
 """Connections of a daemon to the control members."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from siskinsail_net import Network
@@ -78,6 +79,15 @@
         for member, address in members.items():
             self._clients.add(member, address)
 
+    def learn(self, names: Iterable[str]) -> None:
+        """Take members that the leader named and whose address is found.
+
+        The members that a daemon begins with may all be cut off from it
+        while another one leads.
+        """
+        for name in names:
+            self._clients.learn(VmId(name))
+
     async def run(self) -> None:
         """Keep the connections up until cancelled."""
         await self._clients.run()
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -62,6 +62,9 @@
         self._groups: dict[ServiceId, anyio.CancelScope] = {}
         self._watches: dict[ServiceId, WatchedGroup] = {}
         self._catalogue_version = -1
+        # Told with each answer: compression makes that cheap, and a daemon
+        # must know all members before those that it began with are lost.
+        self._members = ''
         self._deregistered: set[DaemonKey] = set()
         self._registering: set[DaemonKey] = set()
 
@@ -329,6 +332,7 @@
             allowances is not None,
             tuple(Allowance(*one) for one in (allowances or {}).items()),
             len(self._context.state.active_daemons),
+            self._members,
         )
 
     def _refuse(self, status: Status) -> SyncAnswer:
@@ -376,6 +380,9 @@
 
     async def _tick(self, tasks: anyio.abc.TaskGroup) -> None:
         self._lender.expire()
+        self._members = '\n'.join(
+            member.name for member in self._context.replica.members()
+        )
         if self._context.membership.expire():
             self._members_changed()
         self._lend_connections()
--- a/libs/control/siskinsail_control/_messages.py
+++ b/libs/control/siskinsail_control/_messages.py
@@ -191,6 +191,7 @@
     has_allowances: bool = False
     allowances: tuple[Allowance, ...] = ()
     daemons: int = 0
+    members: str = ''
 
 
 class BorrowRequest(_Message, frozen=True):
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -105,6 +105,8 @@
   allowances @6 :List(Allowance);
   # Daemons that hold leases.
   daemons @7 :UInt32;
+  # Names of the control members, a line each.
+  members @8 :Text;
 }
 
 struct BorrowRequest {
--- a/libs/control/tests/test_leader_finder.py
+++ b/libs/control/tests/test_leader_finder.py
@@ -126,3 +126,20 @@
         assert _current(finder) == int(named[1:])
     else:
         assert finder.members == (VmId('m0'), VmId('m1'))
+
+
+def test_a_member_that_the_leader_named_is_called_when_others_are_silent():
+    # Fails if a daemon calls only the members that it began with: all of
+    # them may be cut off from it while another one leads.
+    members = {VmId('m0'): Address('127.0.0.1', 20_000)}
+    finder = LeaderFinder(
+        members,
+        TcpNetwork('127.0.0.1'),
+        Secret('fleet'),
+        VmId('vm'),
+        lambda name: Address('127.0.0.1', 20_007) if name == 'm7' else None,
+    )
+    finder.learn(['m7', 'unknown'])
+    assert finder.members == ('m0', 'm7')
+    finder.note_failure(finder.client)
+    assert _current(finder) == 7
