--- a/libs/bench/siskinsail_bench/_capacity_agents.py
+++ b/libs/bench/siskinsail_bench/_capacity_agents.py
@@ -148,7 +148,7 @@
         borrower = Borrower(LimitSettings(), self._clock)
         self._borrowers.append(borrower)
         agent = ControlAgent(
-            ControlSettings.model_validate({}),
+            ControlSettings(),
             DaemonIdentity(
                 vm=VmId(f'agent-{number}'),
                 data_centre=DataCentreId('accra-tema'),
--- a/libs/daemon/siskinsail_daemon/_control_role.py
+++ b/libs/daemon/siskinsail_daemon/_control_role.py
@@ -52,7 +52,7 @@
             clock,
         )
         self._service = ControlService(
-            settings,
+            settings.control,
             settings.vm_id,
             self._replica,
             state,
--- a/libs/daemon/siskinsail_daemon/_daemon.py
+++ b/libs/daemon/siskinsail_daemon/_daemon.py
@@ -150,7 +150,7 @@
             incarnation=secrets.token_hex(8),
         )
         return ControlAgent(
-            settings,
+            settings.control,
             identity,
             settings.members(),
             network,
--- a/libs/daemon/siskinsail_daemon/_settings.py
+++ b/libs/daemon/siskinsail_daemon/_settings.py
@@ -27,10 +27,11 @@
 
 
 class DaemonSettings(
-    ControlSettings, frozen=True, arbitrary_types_allowed=True
+    pydantic.BaseModel, frozen=True, arbitrary_types_allowed=True
 ):
     """Who and where a daemon is, and its policies."""
 
+    control: ControlSettings = ControlSettings()
     vm: Name = Field(description='name of this entry VM')
     data_centre: Name = Field(description='data centre of this entry VM')
     region: str = Field('', description='region of the data centre')
--- a/libs/settings/siskinsail_settings/_parse.py
+++ b/libs/settings/siskinsail_settings/_parse.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 from typing import Union
 
+import msgspec
 import pydantic
 
 from siskinsail_types import Address
@@ -226,6 +227,12 @@
     constraints = _metadata(annotation)
     if not constraints:
         return value
+    if any(isinstance(one, msgspec.Meta) for one in constraints):
+        bounded: Any = Annotated[(type(value), *constraints)]
+        try:
+            return msgspec.convert(value, bounded)
+        except msgspec.ValidationError as error:
+            raise ValueError(str(error)) from error
     # Address and Secret have no pydantic schema: only the constraints are
     # pydantic's, the type has been read above.
     constrained: Any = Annotated[(type(value), *constraints)]
