--- a/libs/consensus/siskinsail_consensus/_peers.py
+++ b/libs/consensus/siskinsail_consensus/_peers.py
@@ -23,7 +23,8 @@
     """Another configured member.
 
     ``match_index`` counts for ``disk_id`` only; a new disk starts from
-    nothing. ``seen_disk`` is the disk that answered last.
+    nothing. ``seen_disk`` is the disk that answered last, on the connection
+    ``seen_connection``.
     """
 
     def __init__(self, member: MemberAddress, client: PeerClient) -> None:
@@ -31,6 +32,7 @@
         self.client = client
         self.seen_disk = DiskId('')
         self.seen_s = float('-inf')
+        self.seen_connection = 0
         self.start_term(1)
 
     @property
@@ -125,6 +127,9 @@
     SiskinsailError
         If there is no answer, or one of another member.
     """
+    # An answer on a connection that was made meanwhile counts for the earlier
+    # one, which is the safe side.
+    connection = peer.client.connections_made
     answer = Message.decode(
         await peer.client.call(method, request.encode(), timeout_s)
     )
@@ -132,6 +137,7 @@
         raise ProtocolError(f'{peer.member.address} is {answer.sender!r}')
     peer.seen_disk = answer.sender_disk
     peer.seen_s = state.clock.now_s()
+    peer.seen_connection = connection
     return answer
 
 
--- a/libs/consensus/siskinsail_consensus/_replica.py
+++ b/libs/consensus/siskinsail_consensus/_replica.py
@@ -336,11 +336,13 @@
 def _is_reachable(peer: Peer | None, disk_id: DiskId) -> bool:
     """Tell whether a member is connected and still has its disk.
 
-    A member that lost its disk is connected before its repair begins.
+    A member that lost its disk is connected before its repair begins, and
+    before it has answered on the new connection.
     """
     return (
         peer is not None
         and peer.client.is_connected
+        and peer.seen_connection == peer.client.connections_made
         and peer.seen_disk == disk_id
     )
 
--- a/libs/consensus/tests/cluster.py
+++ b/libs/consensus/tests/cluster.py
@@ -131,6 +131,18 @@
             ],
         )
 
+    def delay(self, one_way_s: float, *pairs: tuple[str, str]) -> None:
+        """Delay the traffic of these directions, and of no others."""
+        write_rules(
+            self._folder / 'rules',
+            [
+                FaultRule(
+                    self.host(source), self.host(target), delay_s=one_way_s
+                )
+                for source, target in pairs
+            ],
+        )
+
     def isolate(self, name: str) -> None:
         others = [other for other in NAMES if other != name]
         self.cut(
--- a/libs/consensus/tests/test_election.py
+++ b/libs/consensus/tests/test_election.py
@@ -1,6 +1,7 @@
 """Guards the time that members need to elect a leader."""
 
 from collections.abc import AsyncIterator
+import itertools
 from pathlib import Path
 
 import anyio
@@ -18,10 +19,8 @@
 from siskinsail_consensus._state import ReplicaState
 from siskinsail_journal import Journal
 from siskinsail_journal import JournalSettings
-from siskinsail_net import FaultRule
 from siskinsail_net import PeerClient
 from siskinsail_net import TcpNetwork
-from siskinsail_net import write_rules
 from siskinsail_types import Address
 from siskinsail_types import DiskId
 from siskinsail_types import SystemClock
@@ -85,16 +84,7 @@
         cluster = Cluster(
             tasks, tmp_path, election_min_s=0.6, election_max_s=0.6
         )
-        hosts = [cluster.host(name) for name in NAMES]
-        write_rules(
-            tmp_path / 'rules',
-            [
-                FaultRule(source, target, delay_s=ONE_WAY_S)
-                for source in hosts
-                for target in hosts
-                if source != target
-            ],
-        )
+        cluster.delay(ONE_WAY_S, *itertools.permutations(NAMES, 2))
         await cluster.start_all()
         for _ in range(4):
             old = await cluster.propose(b'1')
--- a/libs/consensus/tests/test_replica.py
+++ b/libs/consensus/tests/test_replica.py
@@ -22,6 +22,8 @@
 
 pytestmark = pytest.mark.anyio
 
+ONE_WAY_S = 0.05
+
 
 @asynccontextmanager
 async def _cluster(folder: Path, **settings) -> AsyncIterator[Cluster]:
@@ -258,19 +260,29 @@
         await cluster.propose(b'1')
         leader = await cluster.leader()
         others = [name for name in NAMES if name != leader]
+        # There is time between a connection and the first answer on it.
+        cluster.delay(ONE_WAY_S, *[(name, leader) for name in others])
+        replica = cluster.replicas[leader]
+
+        def reachable() -> set[str]:
+            return {m.name for m in replica.members() if m.is_reachable}
+
         for name in others:
             await cluster.stop(name)
             cluster.lose_disk(name)
+        await eventually(lambda: reachable() == {leader}, 'losses')
         for name in others:
             await cluster.start(name)
-        for name in others:
-            calls = cluster.calls[name]
-            await eventually(
-                lambda calls=calls: calls['consensus.heartbeat'] >= 2,
-                'heartbeats',
+
+        def is_asked() -> bool:
+            # At every moment, that between connection and answer included.
+            assert reachable() == {leader}
+            return all(
+                cluster.calls[name]['consensus.heartbeat'] >= 2
+                for name in others
             )
-        members = cluster.replicas[leader].members()
-        assert {m.name for m in members if m.is_reachable} == {leader}
+
+        await eventually(is_asked, 'heartbeats')
 
 
 async def test_restart_after_hundreds_of_entries(tmp_path: Path):
--- a/libs/net/siskinsail_net/_peer_client.py
+++ b/libs/net/siskinsail_net/_peer_client.py
@@ -110,6 +110,7 @@
         self._next_id = 1
         self._peer_id = VmId('')
         self._is_loss_logged = False
+        self._connections_made = 0
 
     @property
     def remote(self) -> Address:
@@ -126,6 +127,11 @@
         """Whether there is a connection."""
         return self._frames is not None
 
+    @property
+    def connections_made(self) -> int:
+        """Number of connections so far; tells one from the next."""
+        return self._connections_made
+
     async def run(self) -> None:
         """Keep the connection up until cancelled."""
         while True:
@@ -197,6 +203,7 @@
             with anyio.fail_after(AUTHENTICATION_TIMEOUT_S):
                 await self._authenticate(frames)
             self._frames = frames
+            self._connections_made += 1
             self._silent_since_s = None
             self._connected.set()
             self._is_loss_logged = False
