Let silent daemons admit requests at their parts of each rate

A daemon that heard no lender spent the tokens that it held, 0.6 s of use, and its part of the tolerated overrun, and then refused requests within the rate until a leader answered.

Now a daemon admits at the rate over the number of daemons once it has heard nothing for 0.75 s. The lender keeps that part back, from the last answer that the daemon confirmed, until the daemon is heard, has ended, or its loans have; a new leader keeps all parts back since its predecessor lent and gives back what a registration shows as unused. Each daemon saves up one token at most, and only where the tolerated overrun covers that, so a fleet of 60 daemons refuses as before.

--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -125,6 +125,7 @@
         self._leader_term = 0
         self._registration = 0
         self._sequence = 0
+        self._answered_sequence = 0
         self._wants_whole_view = False
         self._is_redirected = False
         # Whether the leader answered the last call, and so knows its reports.
@@ -263,6 +264,7 @@
             return False
         self._news.note_delivered(sent_s)
         self._finder.note_leader(client)
+        self._answered_sequence = request.sequence
         self._take(answer, sent_s)
         self._is_known = True
         return True
@@ -283,11 +285,13 @@
         self._limit_allowances()
         balances: dict[AccountId, LoanBalance] = {}
         members: tuple[BackendServer, ...] = ()
+        used_share_s = 0.0
         if self._leader_term == 0 and not leaving:
             # Urgent calls of an earlier registration end without effect.
             self._registration = self._sequence
             self._news.note_new_leader()
             balances = self._borrower.begin_registration()
+            used_share_s = self._borrower.used_share_s
             # A new leader knows no databases; without those of the view it
             # would take the others away from daemons until they announce.
             if self.lease_state is LeaseState.HELD:
@@ -317,6 +321,8 @@
             evidence=self._news.evidence(self._primaries()),
             connections=self._allowances.reports(changes_only=changes_only),
             changes_only=changes_only,
+            answered_sequence=self._answered_sequence,
+            used_share_s=used_share_s,
         )
 
     def _primaries(self) -> frozenset[DatabaseId]:
@@ -364,7 +370,7 @@
             )
         lease_end_s = sent_s + self._settings.lease_s
         self._lease_end_s = max(self._lease_end_s, lease_end_s)
-        self._borrower.set_daemons(answer.daemons)
+        self._borrower.note_answer(answer.daemons)
         self._borrower.apply([one.grant for one in answer.grants], sent_s)
         self._note_lease()
 
--- a/libs/control/siskinsail_control/_daemon_table.py
+++ b/libs/control/siskinsail_control/_daemon_table.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import math
+from typing import NamedTuple
 
 import anyio
 
@@ -14,6 +15,14 @@
 from ._state import DaemonKey
 
 
+class GivenAnswer(NamedTuple):
+    """The last answer to a daemon, which may be lost."""
+
+    sequence: int
+    daemons: int
+    given_s: float
+
+
 @dataclass(slots=True)
 class DaemonRecord:
     """A daemon that has called this leader.
@@ -28,6 +37,8 @@
         Time by which any lease of the daemon has ended.
     registration : int
         Number of the call that registered the daemon.
+    answer : GivenAnswer or None
+        The last answer that granted a lease.
     wake : anyio.Event
         Ends the long poll of the daemon.
     """
@@ -40,6 +51,7 @@
     lease_end_s: float
     ready: bool = False
     registration: int = 0
+    answer: GivenAnswer | None = None
     wake: anyio.Event = field(default_factory=anyio.Event)
 
     @property
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -20,6 +20,7 @@
 from ._commands import SuspendDaemon
 from ._connection_lender import ConnectionLender
 from ._daemon_table import DaemonRecord
+from ._daemon_table import GivenAnswer
 from ._group_watch import WatchedGroup
 from ._leader_context import LeaderContext
 from ._loan_ports import TokenLender
@@ -128,7 +129,9 @@
             self._lender.register(
                 borrower_name(key),
                 {one.account: one.balance for one in request.balances},
+                request.used_share_s,
             )
+        self._note_confirmed(record, request)
         self._take_news(request)
         self._connections.report(
             key, request.connections, changes_only=request.changes_only
@@ -220,6 +223,7 @@
         """Deregister a daemon that has given up its lease."""
         if self._is_registered(key, request.leader_term):
             self._lender.exchange(borrower_name(key), list(request.reports))
+            self._lender.note_ended(borrower_name(key))
         await self._deregister(key)
         return self._refuse(Status.OK)
 
@@ -320,6 +324,11 @@
         elif self._connections.may_lend_early(record.key):
             allowances = self._connections.lend_early(record.key)
         self._table.grant(record)
+        daemons = len(self._context.state.active_daemons)
+        record.answer = GivenAnswer(
+            request.sequence, daemons, self._clock.now_s()
+        )
+        self._lender.note_answer(borrower_name(record.key), daemons)
         view = self._context.view_log.encoded_delta(
             ViewVersion(request.view_version)
         )
@@ -331,10 +340,22 @@
             tuple(map(GrantMessage.of, grants)),
             allowances is not None,
             tuple(Allowance(*one) for one in (allowances or {}).items()),
-            len(self._context.state.active_daemons),
+            daemons,
             self._members,
         )
 
+    def _note_confirmed(
+        self, record: DaemonRecord, request: SyncRequest
+    ) -> None:
+        """Tell the lender that the daemon got the last answer."""
+        answer = record.answer
+        if answer is not None and (
+            answer.sequence == request.answered_sequence
+        ):
+            self._lender.note_confirmed(
+                borrower_name(record.key), answer.daemons, answer.given_s
+            )
+
     def _refuse(self, status: Status) -> SyncAnswer:
         leader = self._context.replica.leader_id or ''
         return SyncAnswer(status, leader, self._context.term)
--- a/libs/control/siskinsail_control/_loan_ports.py
+++ b/libs/control/siskinsail_control/_loan_ports.py
@@ -34,9 +34,22 @@
         ...
 
     def register(
-        self, borrower: str, balances: Mapping[AccountId, LoanBalance]
+        self,
+        borrower: str,
+        balances: Mapping[AccountId, LoanBalance],
+        used_share_s: float = 0.0,
+    ) -> None:
+        """Take the balances of a daemon, and what it admitted by itself."""
+        ...
+
+    def note_answer(self, borrower: str, daemons: int) -> None:
+        """Take note of an answer to a daemon."""
+        ...
+
+    def note_confirmed(
+        self, borrower: str, daemons: int, answered_s: float
     ) -> None:
-        """Take the balances of a daemon."""
+        """Take note that a daemon has got an answer."""
         ...
 
     def note_ended(self, borrower: str) -> None:
@@ -65,8 +78,13 @@
         """Take the rates and bursts of the view."""
         ...
 
-    def set_daemons(self, daemons: int) -> None:
-        """Take the number of daemons that borrow from the lender."""
+    @property
+    def used_share_s(self) -> float:
+        """Seconds of own admission to state with a registration."""
+        ...
+
+    def note_answer(self, daemons: int) -> None:
+        """Take note of an answer, with the number of daemons."""
         ...
 
     def give_back(self) -> None:
--- a/libs/control/siskinsail_control/_messages.py
+++ b/libs/control/siskinsail_control/_messages.py
@@ -168,6 +168,8 @@
     evidence: tuple[Evidence, ...] = ()
     connections: tuple[ConnectionReport, ...] = ()
     changes_only: bool = False
+    answered_sequence: int = 0
+    used_share_s: float = 0.0
 
     @property
     def is_idle(self) -> bool:
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -91,6 +91,11 @@
   # True: connections are those that differ from the last call, which the
   # leader answered with ok. False: all of them.
   changesOnly @12 :Bool;
+  # Sequence of the last call whose answer arrived, 0 before any.
+  answeredSequence @13 :UInt64;
+  # With a registration: seconds for which the daemon admitted at its part of
+  # each rate by itself since the last answer.
+  usedShareS @14 :Float64;
 }
 
 struct SyncAnswer {
--- a/libs/limits/siskinsail_limits/_account_loans.py
+++ b/libs/limits/siskinsail_limits/_account_loans.py
@@ -78,6 +78,8 @@
         Part of the burst that one borrower may hold.
     unknown_borrowers : int
         Borrowers of an earlier leader that have not registered.
+    kept_back_s : float
+        Seconds of the rate that silent borrowers used before; see ``refill``.
     """
 
     def __init__(
@@ -88,10 +90,12 @@
         now_s: float,
         borrower_share: float,
         unknown_borrowers: int = 0,
+        kept_back_s: float = 0.0,
     ) -> None:
         self.rate = rate
         self.burst = burst
         self._refilled_s = now_s
+        self._kept_back_s = kept_back_s
         self._borrower_share = borrower_share
         # Loans of the earlier leader do not shrink with a later burst.
         self._earlier_cap = self.cap
@@ -133,10 +137,29 @@
         self.burst = burst
         self._limit_level()
 
-    def refill(self, now_s: float) -> None:
-        """Add what the rate allowed since the last refill."""
-        self._add(self.rate * (now_s - self._refilled_s))
+    def refill(
+        self,
+        now_s: float,
+        kept_back_s: float = 0.0,
+        *,
+        is_divided: bool = False,
+    ) -> None:
+        """Add what the rate allowed since the last refill.
+
+        Parameters
+        ----------
+        kept_back_s : float
+            Seconds of the rate so far that silent borrowers may have used by
+            themselves.
+        is_divided : bool
+            Whether they do so with this account.
+        """
+        earned_s = now_s - self._refilled_s
+        if is_divided:
+            earned_s -= kept_back_s - self._kept_back_s
+        self._add(self.rate * earned_s)
         self._refilled_s = now_s
+        self._kept_back_s = kept_back_s
         self._limit_level()
 
     def release(self, stated: float) -> None:
--- a/libs/limits/siskinsail_limits/_borrower.py
+++ b/libs/limits/siskinsail_limits/_borrower.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 
 import anyio
 from returns.result import Failure
@@ -24,6 +25,8 @@
 from ._overdraft import Overdraft
 from ._purse import Purse
 from ._purse import Waiter
+from ._rate_share import RateShare
+from ._rate_share import SilenceClock
 from ._settings import AccountLimit
 from ._settings import LimitPolicy
 from ._settings import LimitSettings
@@ -56,12 +59,25 @@
         self._registered_s = float('-inf')
         self._registrations = 0
         self._overdrafts: dict[AccountId, Overdraft] = {}
-        self._daemons = 0
+        self._shares_in_use: dict[AccountId, RateShare] = {}
+        self._silence = SilenceClock(settings)
+        self._used_share_s = 0.0
         self._reported: dict[AccountId, LoanReport] = {}
 
-    def set_daemons(self, daemons: int) -> None:
-        """Take the number of daemons that borrow from the lender."""
-        self._daemons = daemons
+    @property
+    def used_share_s(self) -> float:
+        """Seconds of own admission to state with a registration."""
+        return self._used_share_s
+
+    def note_answer(self, daemons: int) -> None:
+        """Take note of an answer of the lender.
+
+        Parameters
+        ----------
+        daemons : int
+            Number of daemons that borrow from the lender.
+        """
+        self._silence.hear(daemons, self._clock.now_s())
 
     def set_limits(self, limits: Mapping[AccountId, AccountLimit]) -> None:
         """Take over the accounts of the view."""
@@ -84,6 +100,7 @@
         now_s = self._clock.now_s()
         self._registered_s = now_s
         self._registrations += 1
+        self._used_share_s = self._silence.stop(now_s)
         balances = {
             account: purse.balance(now_s)
             for account, purse in self._purses.items()
@@ -141,6 +158,7 @@
     def give_back(self) -> None:
         """Return all tokens with the next reports, for a shutdown."""
         now_s = self._clock.now_s()
+        self._silence.stop(now_s)
         for purse in self._purses.values():
             purse.return_all(now_s)
 
@@ -196,6 +214,10 @@
                 now_s = self._clock.now_s()
                 left_s = min(deadline_s, end_s) - now_s
                 silent_s = now_s - heard_s
+                share_after_s = self._use_share(account, now_s)
+                if share_after_s <= 0:
+                    return Success(None)
+                left_s = min(left_s, share_after_s)
                 if silent_s >= self._settings.overdraft_after_s:
                     if self._overdraw(account, now_s):
                         return Success(None)
@@ -225,7 +247,24 @@
         overdraft = self._overdrafts.get(account)
         if overdraft is None:
             overdraft = self._overdrafts[account] = Overdraft(self._settings)
-        return overdraft.take(limit, self._daemons, now_s)
+        return overdraft.take(limit, self._silence.daemons, now_s)
+
+    def _use_share(self, account: AccountId, now_s: float) -> float:
+        """Admit a request at the part of the rate of this daemon.
+
+        Returns
+        -------
+        float
+            0 if it is admitted, else the seconds until it may be.
+        """
+        limit = self._limits.get(account)
+        used_s = self._silence.used_s(now_s)
+        if limit is None or used_s <= 0:
+            return math.inf
+        share = self._shares_in_use.get(account)
+        if share is None:
+            share = self._shares_in_use[account] = RateShare(self._settings)
+        return share.take(limit, self._silence.daemons, used_s)
 
     async def _wait_or_call(
         self, account: AccountId, purse: Purse, waiter: Waiter
--- a/libs/limits/siskinsail_limits/_lender.py
+++ b/libs/limits/siskinsail_limits/_lender.py
@@ -11,6 +11,8 @@
 from ._loan import LoanBalance
 from ._loan import LoanGrant
 from ._loan import LoanReport
+from ._rate_share import divides_rate
+from ._rate_share import SilentShares
 from ._settings import AccountLimit
 from ._settings import LimitSettings
 
@@ -60,6 +62,9 @@
         self._begun_s = 0.0
         self._lent_until_s = 0.0
         self._expired_s = 0.0
+        self._silent = SilentShares(settings)
+        self._kept_back_s = 0.0
+        self._fewest_daemons = 0
 
     @property
     def awaited(self) -> frozenset[str]:
@@ -130,20 +135,33 @@
         self._has_begun = True
         self._begun_s = self._expired_s = now_s
         self._lent_until_s = min(now_s, lent_until_s)
+        self._silent.begin(known_borrowers, self._lent_until_s)
+        self._count_silences(self._lent_until_s)
         self._accounts = {
             account: self._open(old, is_new=is_first)
             for account, old in self._accounts.items()
         }
 
     def register(
-        self, borrower: str, balances: Mapping[AccountId, LoanBalance]
+        self,
+        borrower: str,
+        balances: Mapping[AccountId, LoanBalance],
+        used_share_s: float = 0.0,
     ) -> None:
         """Take over the tokens that a borrower holds or spent recently.
 
         A restarted daemon is a borrower of another name; the loans of the
         old one count until they end.
+
+        Parameters
+        ----------
+        used_share_s : float
+            Seconds for which the borrower admitted at its part of the rates
+            by itself since an earlier leader answered it.
         """
         now_s = self._clock.now_s()
+        self._silent.register(borrower, used_share_s, now_s)
+        self._count_silences(now_s)
         self._answered_s[borrower] = now_s
         self._ended.discard(borrower)
         is_reserved = borrower in self._awaited
@@ -158,6 +176,24 @@
                     borrower, balance.held, charge=not is_reserved
                 )
 
+    def note_answer(self, borrower: str, daemons: int) -> None:
+        """Take note of an answer to a borrower.
+
+        Parameters
+        ----------
+        daemons : int
+            Number of daemons that the answer names; the borrower admits at
+            so small a part of each rate while it hears nothing more.
+        """
+        self._silent.answer(borrower, daemons, self._clock.now_s())
+
+    def note_confirmed(
+        self, borrower: str, daemons: int, answered_s: float
+    ) -> None:
+        """Take note that a borrower has got an answer of this leader."""
+        now_s = self._clock.now_s()
+        self._silent.confirm(borrower, daemons, answered_s, now_s)
+
     def note_ended(self, borrower: str) -> None:
         """Take note that the process of a borrower has ended.
 
@@ -165,6 +201,7 @@
         end, or never will be.
         """
         now_s = self._clock.now_s()
+        self._silent.end(borrower, now_s)
         if borrower in self._awaited:
             self._awaited.discard(borrower)
             for account in self._accounts.values():
@@ -198,6 +235,7 @@
         """End the loans of borrowers that were not answered for a period."""
         now_s = self._clock.now_s()
         self._expired_s = now_s
+        self._count_silences(now_s)
         loan_s = self._settings.loan_s
         for borrower, answered_s in list(self._answered_s.items()):
             if now_s - answered_s < loan_s:
@@ -266,15 +304,24 @@
 
     def _refill(self, account: AccountLoans, now_s: float) -> None:
         if self._has_begun:
-            account.refill(now_s)
+            is_divided = divides_rate(
+                self._settings, account, self._fewest_daemons
+            )
+            account.refill(now_s, self._kept_back_s, is_divided=is_divided)
+
+    def _count_silences(self, now_s: float) -> None:
+        self._kept_back_s = self._silent.total_s(now_s)
+        self._fewest_daemons = self._silent.fewest_daemons
 
     def _open(self, limit: AccountLimit, *, is_new: bool) -> AccountLoans:
         """Make the bucket of an account, full if no leader ever lent."""
         if is_new:
             opened_s = self._clock.now_s()
+            kept_back_s = self._kept_back_s
             earned = limit.burst
         else:
             opened_s = self._begun_s
+            kept_back_s = 0.0
             earned = limit.rate * (self._begun_s - self._lent_until_s)
             if self._is_restart:
                 overrun = self._settings.overrun(limit)
@@ -286,6 +333,7 @@
             opened_s,
             self._settings.borrower_share,
             len(self._awaited),
+            kept_back_s,
         )
 
     def _end(self, borrower: str, now_s: float) -> None:
@@ -308,5 +356,6 @@
     def _forget(self, borrower: str) -> None:
         del self._answered_s[borrower]
         self._ended.discard(borrower)
+        self._silent.end(borrower, self._clock.now_s())
         for account in self._accounts.values():
             account.forget(borrower)
--- a/libs/limits/siskinsail_limits/_settings.py
+++ b/libs/limits/siskinsail_limits/_settings.py
@@ -70,6 +70,11 @@
     overdraft_after_s : float
         Time without an answer of the lender after which a request may use
         the tolerated overrun.
+    share_after_s : float
+        Time without an answer of the lender after which a daemon admits at
+        its part of each rate by itself, where an overrun is tolerated. The
+        greatest time that a call takes, and more than there is between two
+        answers.
     """
 
     limit_policy: LimitPolicy = LimitPolicy.LENT
@@ -89,6 +94,7 @@
     restart_share: float = 1.0
     # Several round trips between regions.
     overdraft_after_s: float = 0.15
+    share_after_s: float = 0.75
 
     def overrun(self, limit: AccountLimit) -> float:
         """Return the tokens above a limit that are tolerated in a window."""
