Wake idle daemons less often

A daemon looked at the allowance of each pool twenty times a second, at each silent connection to a control member four times a second although no call waited on it, and at each pool once a second for unused connections. Control tells the pools of new allowances and of the end of a lease now, a connection is watched while calls wait, and unused connections are looked for at a quarter of their time. Position samples are checked five times a second.

--- a/libs/backend/siskinsail_backend/_account_pool.py
+++ b/libs/backend/siskinsail_backend/_account_pool.py
@@ -29,7 +29,8 @@
 from ._queue import Waiter
 from ._settings import BackendSettings
 
-_CLOSE_CHECK_S = 1.0
+# Unused connections are closed late by at most this part of their time.
+_CLOSE_CHECK_SHARE = 0.25
 
 
 class AccountConnection(Protocol):
@@ -251,9 +252,10 @@
     @property
     def _idle_s(self) -> float:
         """Time after which the pool must be looked at again."""
+        check_s = self._settings.idle_connection_s * _CLOSE_CHECK_SHARE
         if len(self._waiting) and self._pacing.wait_s:
-            return min(_CLOSE_CHECK_S, self._pacing.wait_s)
-        return _CLOSE_CHECK_S
+            return min(check_s, self._pacing.wait_s)
+        return check_s
 
     @property
     def _held(self) -> int:
--- a/libs/backend/siskinsail_backend/_allowance_watcher.py
+++ b/libs/backend/siskinsail_backend/_allowance_watcher.py
@@ -7,8 +7,8 @@
 
 from siskinsail_types import DatabaseId
 
-# Bounds the time for which a pool keeps what is no longer lent to it.
-_CHECK_INTERVAL_S = 0.05
+# Control tells of changes at once; this bounds what a missed one costs.
+_CHECK_INTERVAL_S = 0.25
 # Pools that have no connection and may open none are looked at once in so
 # many rounds: a daemon may know hundreds of databases of which it uses a few.
 _UNUSED_ROUNDS = 5
@@ -30,8 +30,7 @@
 class AllowanceWatcher:
     """Compares the allowances of all pools with what the pools applied.
 
-    ``ConnectionAllowance`` reports no changes, and it is cut by time at the
-    end of the daemon lease. One task looks at all pools, since a timer and a
+    One task looks at all pools, since a timer and a
     task switch for each pool cost far more than a look-up.
 
     Parameters
--- a/libs/backend/siskinsail_backend/_pool_table.py
+++ b/libs/backend/siskinsail_backend/_pool_table.py
@@ -159,6 +159,11 @@
             for database, pool in self._pools.items()
         }
 
+    def check_allowances(self) -> None:
+        """Let each pool take note that its allowance may have changed."""
+        for pool in tuple(self._pools.values()):
+            pool.check_allowance()
+
     async def run(self, views: ViewSource) -> None:
         """Follow the view until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/libs/backend/tests/test_pool.py
+++ b/libs/backend/tests/test_pool.py
@@ -358,5 +358,7 @@
             await until(lambda: pool.waiting == 1)
             assert pool.new_connection_waits == 0
             ports.allowed = 3
+            # Control tells of each change.
+            pool.check_allowance()
             await until(lambda: pool.waiting == 0)
             assert pool.new_connection_waits == 1
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -56,6 +56,8 @@
 from ._view_log import EMPTY_VIEW
 
 REPORT_INTERVAL_S = 0.05
+# Without a lease, allowances are cut in steps of much longer times.
+LAPSED_CHECK_S = 0.25
 LEAVE_TIMEOUT_S = 1.0
 
 
@@ -210,6 +212,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._finder.run)
             tasks.start_soon(self._report_urgent_news)
+            tasks.start_soon(self._watch_lease_end)
             with self._sync_scope:
                 while True:
                     if not await self._sync():
@@ -381,6 +384,16 @@
             log_event(name, view_version=self._view.version)
         self._was_held = is_held
 
+    async def _watch_lease_end(self) -> None:
+        """Have connections given up as soon as the lease has ended."""
+        while True:
+            left_s = self._lease_end_s - self._clock.now_s()
+            if left_s > 0:
+                await anyio.sleep(left_s)
+                continue
+            self._allowances.tell_usage()
+            await anyio.sleep(LAPSED_CHECK_S)
+
     def _limit_allowances(self) -> None:
         """Cut allowances at the end of the lease, as the leader does."""
         gap_s = self.lease_gap_s
--- a/libs/control/siskinsail_control/_allowances.py
+++ b/libs/control/siskinsail_control/_allowances.py
@@ -27,6 +27,12 @@
     def replace(self, allowed: Mapping[DatabaseId, int]) -> None:
         """Take new allowances for all databases."""
         self._allowed = dict(allowed)
+        self.tell_usage()
+
+    def tell_usage(self) -> None:
+        """Let the pools take note that allowances may have changed."""
+        if self._usage is not None:
+            self._usage.check_allowances()
 
     def limit(self, most: int) -> None:
         """Cut each allowance; it does not grow back by itself."""
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -121,6 +121,9 @@
     def wanted_connections(self):
         return dict(self.wanted)
 
+    def check_allowances(self):
+        pass
+
 
 class Fleet:
     """Control members ``m0``, ``m1`` and any number of daemons."""
--- a/libs/control/tests/test_connection_lender.py
+++ b/libs/control/tests/test_connection_lender.py
@@ -182,6 +182,9 @@
     def wanted_connections(self):
         return dict(self.wanted)
 
+    def check_allowances(self):
+        pass
+
 
 class _Side:
     """A lender and its daemons, which report changes only, or everything."""
--- a/libs/net/siskinsail_net/_peer_client.py
+++ b/libs/net/siskinsail_net/_peer_client.py
@@ -107,6 +107,7 @@
         self._frames: FrameStream | None = None
         self._connected = anyio.Event()
         self._pending: dict[int, _PendingCall] = {}
+        self._calls_wait = anyio.Event()
         self._next_id = 1
         self._peer_id = VmId('')
         self._is_loss_logged = False
@@ -168,6 +169,7 @@
                 if self._silent_since_s is None:
                     self._silent_since_s = self._clock.now_s()
                 self._pending[request_id] = pending
+                self._calls_wait.set()
                 await frames.send(
                     Frame(FrameKind.REQUEST, request_id, method, payload)
                 )
@@ -235,6 +237,9 @@
 
     async def _end_if_silent(self, scope: anyio.CancelScope) -> None:
         while True:
+            if not self._pending:
+                self._calls_wait = anyio.Event()
+                await self._calls_wait.wait()
             await anyio.sleep(min(SILENCE_CHECK_S, self._silence_limit_s / 4))
             since_s = self._silent_since_s
             if not self._pending or since_s is None:
--- a/libs/statements/siskinsail_statements/_sampler.py
+++ b/libs/statements/siskinsail_statements/_sampler.py
@@ -19,7 +19,7 @@
 from ._statement import Command
 from ._statement import Status
 
-_CHECK_INTERVAL_S = 0.1
+_CHECK_INTERVAL_S = 0.2
 _TIMEOUT_S = 0.5
 # Samples give way to the statements of callers in queues.
 _WEIGHT = 0.25
--- a/libs/types/siskinsail_types/_ports.py
+++ b/libs/types/siskinsail_types/_ports.py
@@ -24,6 +24,10 @@
         """Return the connections that would all be busy now."""
         ...
 
+    def check_allowances(self) -> None:
+        """Take note that allowances may have changed."""
+        ...
+
 
 class EvidenceSink(Protocol):
     """Takes what the request path sees of databases."""
