--- a/libs/control/tests/test_fleet.py
+++ b/libs/control/tests/test_fleet.py
@@ -18,6 +18,7 @@
 from siskinsail_control._messages import encode_message
 from siskinsail_control._messages import Status
 from siskinsail_control._messages import SyncAnswer
+from siskinsail_control._messages import SyncRequest
 from siskinsail_limits import Borrower
 from siskinsail_limits import LimitSettings
 from siskinsail_net import HttpClientConnection
@@ -246,6 +247,40 @@
     await wait_until(lambda: sum(allowed()) == 9)
 
 
+async def test_a_silence_counts_from_the_last_answer_that_arrived(fleet):
+    # A lender that counts an answer that was lost keeps back less of the
+    # rates than the daemon uses meanwhile.
+    await wait_until(lambda: fleet.services['m0']._leadership)
+    leadership = fleet.services['m0']._leadership
+    confirmed = []
+
+    def note(borrower: str, daemons: int, answered_s: float) -> None:
+        confirmed.append((borrower, daemons))
+
+    leadership._lender.note_confirmed = note
+    term = 0
+    for sequence, answered, count in (
+        (1, 0, 0),
+        (2, 1, 1),
+        # The answer to the second call was lost.
+        (3, 1, 1),
+        (4, 3, 2),
+    ):
+        answer = await leadership.sync(
+            VmId('vm'),
+            SyncRequest(
+                incarnation='1',
+                data_centre='a',
+                sequence=sequence,
+                leader_term=term,
+                answered_sequence=answered,
+            ),
+        )
+        assert answer.status is Status.OK
+        term = answer.leader_term
+        assert confirmed == [('vm/1', 1)] * count
+
+
 async def test_lent_tokens_reach_a_daemon_and_follow_a_new_leader(fleet):
     (agent,) = await _held(fleet, 'a')
     await apply(agent, 'r', account(burst=10.0, rate=1000.0))
