--- a/tests/request_path.py
+++ b/tests/request_path.py
@@ -1,5 +1,6 @@
 """Steps that the proofs of the request path share."""
 
+from scenario import IN_FORCE_S
 from scenario import READY_S
 from scenario import Scenario
 
@@ -53,14 +54,23 @@
     )
 
 
-async def leader_of(scenario: Scenario) -> str:
-    """Return the control leader."""
-    for vm in vms_of(scenario):
-        address = scenario.fleet.address(vm, 'operator')
-        status = await scenario.operator.read(address, '/v1/status')
-        if status is not None and status.get('leader'):
-            return str(status['leader'])
-    raise AssertionError('no entry VM knows a leader')
+async def leader_of(scenario: Scenario, besides: str = '') -> str:
+    """Return the control leader that an entry VM apart from one knows."""
+    found: list[str] = []
+
+    async def known() -> bool:
+        for vm in vms_of(scenario):
+            if vm == besides:
+                continue
+            address = scenario.fleet.address(vm, 'operator')
+            status = await scenario.operator.read(address, '/v1/status')
+            if status and status['leader'] not in (None, besides):
+                found.append(str(status['leader']))
+                return True
+        return False
+
+    await scenario.fleet.wait_until(known, IN_FORCE_S, 'control leader')
+    return found[0]
 
 
 async def wait_replaced(scenario: Scenario, old: str, timeout_s: float) -> str:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -10,6 +10,8 @@
 
 import anyio
 import pytest
+from request_path import centre_of
+from request_path import primary_of
 from request_path import restart_database
 from scenario import IN_FORCE_S
 from scenario import READY_S
@@ -61,18 +63,6 @@
     ]
 
 
-async def _primary(scenario: Scenario) -> str:
-    primary = await scenario.fleet.primary_of(scenario.service)
-    assert primary is not None
-    return primary
-
-
-def _centre(scenario: Scenario, name: str) -> str:
-    deployment = scenario.fleet.deployment
-    places = (*deployment.databases, *deployment.vms)
-    return next(one.data_centre.name for one in places if one.name == name)
-
-
 async def _until(scenario: Scenario, at_s: float) -> None:
     async def passed() -> bool:
         return CLOCK.now_s() >= at_s
@@ -103,7 +93,7 @@
     the primary reads on replicas elsewhere.
     """
     fleet = scenario.fleet
-    centre = _centre(scenario, await _primary(scenario))
+    centre = centre_of(scenario, await primary_of(scenario))
     beside = next(
         vm.name for vm in fleet.deployment.vms if vm.data_centre.name == centre
     )
@@ -129,7 +119,7 @@
     )
     records = load_records(fleet.records)
     callers = {call.request_id: call.vm for call in records.callers}
-    primary = await _primary(scenario)
+    primary = await primary_of(scenario)
     reads = Counter(
         (callers.get(unit.request_id), unit.database)
         for unit in records.databases
@@ -182,13 +172,13 @@
         sessions = [s for vm in vms for s in _sessions_at(scenario, vm, 4)]
         wait = await stack.enter_async_context(scenario.load(sessions))
         await wait(20)
-        database = await _primary(scenario)
+        database = await primary_of(scenario)
         disturbed = ''
         if fault != 'none':
             # A daemon that does not know of the change would not get far
             # with a fenced primary, but would go on reading on a replica.
             disturbed, database = await _reader_and_replica(scenario)
-        centre = _centre(scenario, database)
+        centre = centre_of(scenario, database)
         others = [vm for vm in vms if vm != disturbed]
         operator = fleet.operator('mover', others)
         if fault == 'frozen':
@@ -202,7 +192,7 @@
             fleet.resume(disturbed)
         await _until(scenario, sent_s + IN_FORCE_S + WATCH_S)
         _check_left(scenario, database, sent_s + IN_FORCE_S)
-        assert await _primary(scenario) != database
+        assert await primary_of(scenario) != database
         gone = [v.name for v in fleet.deployment.vms]
         ready = {vm for vm in gone if await fleet.is_ready(vm)}
         homes = {
@@ -227,7 +217,7 @@
     while True:
         with contextlib.suppress(TransportError, ProtocolError):
             await fetch_json(
-                fleet.caller_network(_centre(scenario, vm)),
+                fleet.caller_network(centre_of(scenario, vm)),
                 fleet.address(vm, 'client'),
                 'POST',
                 '/v1/routes/open/statements',
@@ -261,7 +251,7 @@
     status = await scenario.operator.read(
         fleet.address(deployment.vms[0].name, 'operator'), '/v1/status'
     )
-    primary = await _primary(scenario)
+    primary = await primary_of(scenario)
     names = [d.name for d in deployment.databases if d.name != primary]
     answer, _ = await fleet.admin(
         names[1], 'POST', '/v1/test/lag', {'lag_s': LONG_LAG_S}
@@ -271,7 +261,7 @@
         vm.name
         for vm in deployment.vms
         if vm.name != status['leader']
-        and vm.data_centre.name != _centre(scenario, names[0])
+        and vm.data_centre.name != centre_of(scenario, names[0])
     )
     return names[0], vm
 
@@ -287,7 +277,7 @@
         await _add_open_route(scenario)
         vms = [vm.name for vm in fleet.deployment.vms]
         database, frozen = await _leave_one_replica(scenario)
-        centre = _centre(scenario, database)
+        centre = centre_of(scenario, database)
         others = [vm for vm in vms if vm != frozen]
         sessions = [s for vm in others for s in _sessions_at(scenario, vm, 2)]
         async with (
@@ -321,7 +311,7 @@
 async def test_a_leaving_database_gets_no_new_work(tmp_path, how, is_primary):
     async with running(tmp_path) as scenario:
         fleet = scenario.fleet
-        primary = await _primary(scenario)
+        primary = await primary_of(scenario)
         replicas = [
             database.name
             for database in fleet.deployment.databases
@@ -358,7 +348,7 @@
                 assert status == 200, body
             await _until(scenario, sent_s + IN_FORCE_S + WATCH_S)
             _check_left(scenario, leaver, sent_s + IN_FORCE_S)
-            assert await _primary(scenario) != leaver
+            assert await primary_of(scenario) != leaver
             if how == 'signal':
                 await restart_database(scenario, leaver)
             else:
--- a/tests/test_frozen_entry_vm.py
+++ b/tests/test_frozen_entry_vm.py
@@ -8,6 +8,7 @@
 
 import anyio
 import pytest
+from request_path import leader_of
 from scenario import running
 from scenario import Scenario
 
@@ -67,22 +68,6 @@
         await anyio.sleep(PAUSE_S)
 
 
-async def _leader(scenario: Scenario) -> str:
-    found: list[str] = []
-
-    async def known() -> bool:
-        vm = scenario.fleet.deployment.vms[0].name
-        status = await scenario.operator.read(
-            scenario.fleet.address(vm, 'operator'), '/v1/status'
-        )
-        if status and status['leader']:
-            found.append(status['leader'])
-        return bool(found)
-
-    await scenario.fleet.wait_until(known, 5, 'control leader')
-    return found[0]
-
-
 async def _has_answered(scenario: Scenario, count: int) -> bool:
     return len(load_records(scenario.fleet.records).callers) >= count
 
@@ -93,7 +78,7 @@
 ):
     """Guards against pools that only get connections that are refused."""
     async with running(tmp_path) as scenario:
-        leader = await _leader(scenario)
+        leader = await leader_of(scenario)
         vms = [vm.name for vm in scenario.fleet.deployment.vms]
         frozen = next(vm for vm in vms if (vm == leader) == is_leader)
         async with anyio.create_task_group() as tasks:
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -3,6 +3,7 @@
 import anyio
 from control_side import leader as leader_among
 import pytest
+from request_path import leader_of
 from scenario import IN_FORCE_S
 from scenario import READY_S
 from scenario import running
@@ -46,14 +47,6 @@
     )
 
 
-async def _leader(scenario: Scenario) -> str:
-    vm = scenario.fleet.deployment.vms[0].name
-    status = await scenario.operator.read(
-        scenario.fleet.address(vm, 'operator'), '/v1/status'
-    )
-    return str(status['leader'])
-
-
 async def _slow_down(scenario: Scenario) -> None:
     """Let orders take long, so that some are in flight at each stop."""
     for database in scenario.fleet.deployment.databases:
@@ -134,7 +127,7 @@
 
 async def test_a_control_leader_that_stops_hands_over(tmp_path):
     async with running(tmp_path) as scenario:
-        leader = await _leader(scenario)
+        leader = await leader_of(scenario)
         vms = [vm.name for vm in scenario.fleet.deployment.vms]
         others = [vm for vm in vms if vm != leader]
         operators = [
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -9,6 +9,8 @@
 
 import anyio
 import pytest
+from request_path import leader_of
+from request_path import vms_of
 from scenario import IN_FORCE_S
 from scenario import READY_S
 from scenario import running
@@ -65,10 +67,6 @@
     return next(one.data_centre.name for one in vms if one.name == vm)
 
 
-def _vms(scenario: Scenario) -> list[str]:
-    return [vm.name for vm in scenario.fleet.deployment.vms]
-
-
 @asynccontextmanager
 async def _flooded(
     tmp_path, least: float = OFFERED_IN_FAILURES
@@ -77,7 +75,7 @@
     async with running(tmp_path, rate=RATE, burst=BURST) as scenario:
         started_s = SystemClock().now_s()
         async with anyio.create_task_group() as tasks:
-            for vm in _vms(scenario):
+            for vm in vms_of(scenario):
                 for number in range(CALLERS):
                     tasks.start_soon(_call_on, scenario, vm, number)
             yield scenario
@@ -125,24 +123,6 @@
     await scenario.fleet.wait_until(answered, timeout_s, 'admitted requests')
 
 
-async def _leader(scenario: Scenario, not_vm: str = '') -> str:
-    """Return the control leader that the entry VMs beside one know."""
-    found: list[str] = []
-
-    async def known() -> bool:
-        for vm in _vms(scenario):
-            if vm != not_vm:
-                status = await scenario.operator.read(
-                    scenario.fleet.address(vm, 'operator'), '/v1/status'
-                )
-                if status and status['leader'] not in (None, not_vm):
-                    found.append(status['leader'])
-        return bool(found)
-
-    await scenario.fleet.wait_until(known, IN_FORCE_S, 'control leader')
-    return found[0]
-
-
 async def test_all_entry_vms_together_stay_within_the_rate(tmp_path):
     async with _flooded(tmp_path, least=OFFERED) as scenario:
         await _admitted(scenario, round(BURST + 3 * RATE), 10)
@@ -161,8 +141,8 @@
         await _admitted(scenario, round(BURST), 10)
         for is_leader in (False, True, False):
             # Only a leader that stays knows what the killed process got.
-            leader = await _leader(scenario)
-            others = [vm for vm in _vms(scenario) if vm != leader]
+            leader = await leader_of(scenario)
+            others = [vm for vm in vms_of(scenario) if vm != leader]
             vm = leader if is_leader else chosen.choice(others)
             scenario.fleet.kill(vm)
             scenario.fleet.restart(vm)
@@ -177,12 +157,12 @@
     async with _flooded(tmp_path) as scenario:
         await _admitted(scenario, round(BURST), 10)
         for _ in range(2):
-            leader = await _leader(scenario)
+            leader = await leader_of(scenario)
             if is_frozen:
                 scenario.fleet.freeze(leader)
             else:
                 scenario.fleet.kill(leader)
-            await _leader(scenario, not_vm=leader)
+            await leader_of(scenario, besides=leader)
             await _admitted(scenario, 10, LOAN_S + IN_FORCE_S)
             if is_frozen:
                 scenario.fleet.resume(leader)
@@ -206,7 +186,7 @@
 async def test_restarts_of_every_entry_vm_lend_nothing_twice(tmp_path):
     async with _flooded(tmp_path) as scenario:
         await _admitted(scenario, round(BURST), 10)
-        for vm in _vms(scenario):
+        for vm in vms_of(scenario):
             scenario.fleet.terminate(vm)
             assert await scenario.fleet.wait_ended(vm, 10) == 0
             scenario.fleet.restart(vm)
