Derive what a registration claims, and count silences only where they matter

The claimed seconds stood twice, in the borrower and in its SilenceClock, and a lender went over all borrowers twenty times a second even where no overrun is tolerated and no account is divided. Behaviour stays as it is.

--- a/libs/backend/siskinsail_backend/_allowance_watcher.py
+++ b/libs/backend/siskinsail_backend/_allowance_watcher.py
@@ -30,8 +30,8 @@
 class AllowanceWatcher:
     """Compares the allowances of all pools with what the pools applied.
 
-    One task looks at all pools, since a timer and a
-    task switch for each pool cost far more than a look-up.
+    One task looks at all pools, since a timer and a task switch for each
+    pool cost far more than a look-up.
 
     Parameters
     ----------
--- a/libs/limits/siskinsail_limits/_borrower.py
+++ b/libs/limits/siskinsail_limits/_borrower.py
@@ -61,13 +61,12 @@
         self._overdrafts: dict[AccountId, Overdraft] = {}
         self._shares_in_use: dict[AccountId, RateShare] = {}
         self._silence = SilenceClock(settings)
-        self._used_share_s = 0.0
         self._reported: dict[AccountId, LoanReport] = {}
 
     @property
     def used_share_s(self) -> float:
         """Seconds of own admission to state with a registration."""
-        return self._used_share_s
+        return self._silence.claimed_s
 
     def note_answer(self, daemons: int) -> None:
         """Take note of an answer of the lender.
@@ -100,7 +99,7 @@
         now_s = self._clock.now_s()
         self._registered_s = now_s
         self._registrations += 1
-        self._used_share_s = self._silence.stop(now_s)
+        self._silence.stop(now_s)
         balances = {
             account: purse.balance(now_s)
             for account, purse in self._purses.items()
--- a/libs/limits/siskinsail_limits/_lender.py
+++ b/libs/limits/siskinsail_limits/_lender.py
@@ -310,6 +310,9 @@
             account.refill(now_s, self._kept_back_s, is_divided=is_divided)
 
     def _count_silences(self, now_s: float) -> None:
+        if self._settings.overdraft_window_s <= 0:
+            # No account is divided, see ``divides_rate``.
+            return
         self._kept_back_s = self._silent.total_s(now_s)
         self._fewest_daemons = self._silent.fewest_daemons
 
--- a/libs/limits/siskinsail_limits/_rate_share.py
+++ b/libs/limits/siskinsail_limits/_rate_share.py
@@ -32,23 +32,21 @@
         """Daemons that divide each rate, 0 where that is not known."""
         return self._daemons
 
+    @property
+    def claimed_s(self) -> float:
+        """Seconds of use since the last answer that a stop has ended."""
+        return self._claimed_s
+
     def hear(self, daemons: int, now_s: float) -> None:
         """Take note of an answer of the lender."""
         self._daemons = daemons
         self._heard_s = now_s
         self._claimed_s = 0.0
 
-    def stop(self, now_s: float) -> float:
-        """End the silence before a registration.
-
-        Returns
-        -------
-        float
-            Seconds for which the part was in use since the last answer.
-        """
+    def stop(self, now_s: float) -> None:
+        """End the use of the part, before a registration or a shutdown."""
         self._claimed_s += self.used_s(now_s)
         self._heard_s = None
-        return self._claimed_s
 
     def used_s(self, now_s: float) -> float:
         """Return for how long the part has been in use."""
--- a/libs/limits/tests/test_rate_share.py
+++ b/libs/limits/tests/test_rate_share.py
@@ -251,8 +251,10 @@
     last_s = SETTINGS.loan_s - 2 * SETTINGS.share_after_s
     assert silence.used_s(100.0) == pytest.approx(last_s)
     # A registration states it once and ends it.
-    assert silence.stop(1.75) == pytest.approx(1.0)
-    assert silence.stop(3.0) == pytest.approx(1.0)
+    silence.stop(1.75)
+    assert silence.claimed_s == pytest.approx(1.0)
+    silence.stop(3.0)
+    assert silence.claimed_s == pytest.approx(1.0)
     assert silence.used_s(3.0) == 0.0
 
 
