Lend scarce connections by demand, in an order that differs by database

Cause: with fewer connections to a database than daemons, the lender gave one each to the first daemons by name, for every database. With 150 connections and 194 daemons the last 44 names held none on any database, for good: all of one data centre and the end of another refused every statement.

Change: daemons with demand come first, then others, in an order by a hash of database and daemon.

Tests: five new cases fail before the change and pass after it (test_no_daemon_is_left_without_any_connection, test_scarce_connections_go_to_daemons_with_demand).

--- a/libs/control/siskinsail_control/_connection_lender.py
+++ b/libs/control/siskinsail_control/_connection_lender.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+import zlib
 
 from siskinsail_types import Clock
 from siskinsail_types import DatabaseId
@@ -339,7 +340,7 @@
         total = (
             self._lendable_total(pool.total) - retained - self._awaited_count
         )
-        targets = self._compute_targets(pool, max(0, total))
+        targets = self._compute_targets(database, max(0, total))
         for daemon in targets.keys() | pool.allocations.keys() - self._lapsed:
             allocation = self._get_allocation(database, daemon)
             allocation.target = targets.get(daemon, 0)
@@ -359,23 +360,55 @@
         return max(min(total, daemon_count), total - reserve)
 
     def _compute_targets(
-        self, pool: _Pool, total: int
+        self, database: DatabaseId, total: int
     ) -> dict[DaemonKey, int]:
         """Divide connections; a daemon without a target gets none."""
         order = self._lending_order
         if self._settings.equal_connection_shares:
             share = total // len(order) if order else 0
             return dict.fromkeys(order, share) if share else {}
-        if total <= len(order):
-            # There is at most one connection for each daemon, so that the
-            # demand of the daemons need not be read.
-            return dict.fromkeys(order[:total], 1)
-        empty = _Allocation()
-        demands = [
-            pool.allocations.get(key, empty).peak_demand for key in order
-        ]
-        shares = shares_by_demand(total, demands)
-        return dict(zip(order, shares, strict=True))
+        demands = self._demands(database)
+        if total >= len(order):
+            shares = shares_by_demand(
+                total, [demands.get(key, 0) for key in order]
+            )
+            return dict(zip(order, shares, strict=True))
+        return self._share_scarce(database, total, demands)
+
+    def _demands(self, database: DatabaseId) -> dict[DaemonKey, int]:
+        """Return the demand of the daemons that need connections."""
+        return {
+            daemon: allocation.peak_demand
+            for daemon, allocation in self._pools[database].allocations.items()
+            if allocation.peak_demand and daemon not in self._lapsed
+        }
+
+    def _share_scarce(
+        self, database: DatabaseId, total: int, demands: dict[DaemonKey, int]
+    ) -> dict[DaemonKey, int]:
+        """Divide fewer connections than there are daemons.
+
+        Daemons with demand come first. The order differs between databases,
+        so that no daemon is the last one for all of them.
+        """
+
+        def order_key(daemon: DaemonKey) -> int:
+            return zlib.crc32(f'{database}/{daemon[0]}'.encode())
+
+        needy = sorted(demands, key=order_key)
+        shares = [0] * len(needy)
+        for ceiling in ([1] * len(needy), [demands[key] for key in needy]):
+            total = _distribute(total, shares, ceiling)
+        targets = {
+            key: share
+            for key, share in zip(needy, shares, strict=True)
+            if share
+        }
+        if total:
+            others = [key for key in self._lending_order if key not in demands]
+            others.sort(key=order_key)
+            targets.update(dict.fromkeys(others[:total], 1))
+        return targets
 
     def _compute_allowance(self, pool: _Pool, allocation: _Allocation) -> int:
         held_by_others = pool.bound - allocation.bound
--- a/libs/control/tests/test_connection_lender.py
+++ b/libs/control/tests/test_connection_lender.py
@@ -147,6 +147,42 @@
     assert all(daemon.allowed for daemon in fleet)
 
 
+@pytest.mark.parametrize(
+    ('daemons', 'databases', 'total'),
+    [(194, 30, 146), (89, 12, 78), (12, 3, 11)],
+)
+def test_no_daemon_is_left_without_any_connection(daemons, databases, total):
+    """Guards against daemons that are the last ones for every database.
+
+    If the order is the same for all databases, the daemons whose names come
+    last hold no connection to any of them and refuse all statements.
+    """
+    lender = ConnectionLender(ControlSettings(), ManualClock())
+    names = [f'db-{number}' for number in range(databases)]
+    lender.set_totals(dict.fromkeys(names, total))
+    keys = [(f'vm-{number:03}', '1') for number in range(daemons)]
+    for key in keys:
+        lender.report(key, [])
+    lent = {key: lender.lend(key) for key in keys}
+    assert all(lent.values())
+    for name in names:
+        assert sum(allowed.get(name, 0) for allowed in lent.values()) == total
+
+
+@pytest.mark.parametrize(
+    ('wanted', 'lent'), [([4, 4, 0, 0, 0], [2, 2]), ([1, 0, 0, 0, 4], [1, 3])]
+)
+def test_scarce_connections_go_to_daemons_with_demand(wanted, lent):
+    """Guards against connections that idle daemons hold in a large fleet."""
+    lender = ConnectionLender(ControlSettings(), ManualClock())
+    lender.set_totals({'db': 4})
+    fleet = [_FakeDaemon(str(number)) for number in range(5)]
+    for daemon, count in zip(fleet, wanted, strict=True):
+        daemon.wanted = count
+    _settle(lender, fleet)
+    assert [daemon.allowed for daemon in fleet if daemon.wanted] == lent
+
+
 def test_a_registered_daemon_that_never_called_keeps_one():
     lender = ConnectionLender(ControlSettings(), ManualClock())
     lender.set_totals({'db': TOTAL})
