Refuse odd reports and configurations, and contain unexpected errors

Cause: a status report or configuration with a deeply nested field raised RecursionError out of its decoder, a port of '²' or of 5,000 digits ValueError out of Address.parse, a configuration version of 2^70 OverflowError when it was stored; slots of 2^63 passed and could not be encoded between processes; a sequence of 2^64-1 outdated all true reports of that database until it expired. An exception that no code expected in one handler of HTTP, of peers or of callers ended the whole process.

Change: all decoders of outside input treat nesting and broken UTF-8 as malformed. One check of announcements, shared by both protocols, admits only what every daemon can use. A sequence number far ahead of a live database is not believed. A stored odd address no longer stops a daemon's pools. Handlers record an unexpected exception with its trace and in siskinsail_unexpected_errors, answer it and go on.

--- a/libs/backend/siskinsail_backend/_connection.py
+++ b/libs/backend/siskinsail_backend/_connection.py
@@ -1,6 +1,5 @@
 """Connection to a database, which carries one database session."""
 
-import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -10,6 +9,7 @@
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
 from siskinsail_types import DatabaseId
+from siskinsail_types import DECODE_ERRORS
 from siskinsail_types import EvidenceSink
 from siskinsail_types import ProtocolError
 from siskinsail_types import RequestId
@@ -205,7 +205,7 @@
         else:
             echoed, failure = decode_error(body)
             reply = Failure(failure)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Failure(
             ConnectionFailedError(f'the answer cannot be decoded: {error}')
         )
--- a/libs/backend/siskinsail_backend/_pool_table.py
+++ b/libs/backend/siskinsail_backend/_pool_table.py
@@ -16,6 +16,7 @@
 from siskinsail_types import ConnectionAllowance
 from siskinsail_types import DatabaseId
 from siskinsail_types import GroupPhase
+from siskinsail_types import ProtocolError
 from siskinsail_types import ServiceId
 
 from ._allowance_watcher import AllowanceWatcher
@@ -179,13 +180,15 @@
             backend = view.databases.get(database)
             if (
                 backend is None
-                or Address.parse(backend.address) != pool.remote
+                or _remote_address(backend) != pool.remote
                 or _is_draining(view, backend)
             ):
                 self._retire_pool(database)
         for backend in view.backends:
-            if backend.database not in self._pools and not _is_draining(
-                view, backend
+            if (
+                backend.database not in self._pools
+                and not _is_draining(view, backend)
+                and _remote_address(backend) is not None
             ):
                 self._add_pool(backend, tasks)
         for group in _changed_groups(self._view, view):
@@ -216,6 +219,18 @@
                 pool.reroute_waiters()
 
 
+def _remote_address(backend: BackendServer) -> Address | None:
+    """Return the address of a database, None if it is invalid.
+
+    The leader admits no invalid address. One that it stored before must not
+    stop the daemon, or hide the other databases from it.
+    """
+    try:
+        return Address.parse(backend.address)
+    except ProtocolError:
+        return None
+
+
 def _is_draining(view: View, backend: BackendServer) -> bool:
     """Tell whether a database only finishes the requests that it runs.
 
--- a/libs/catalogue/siskinsail_catalogue/__init__.py
+++ b/libs/catalogue/siskinsail_catalogue/__init__.py
@@ -25,6 +25,8 @@
 from ._entry import ServiceEntry as ServiceEntry
 from ._entry import SessionPolicy as SessionPolicy
 from ._key_digest import key_digest as key_digest
+from ._server_check import check_backend_server as check_backend_server
+from ._server_check import MAX_NAME_LENGTH as MAX_NAME_LENGTH
 from ._state import CatalogueState as CatalogueState
 from ._state import MAX_HISTORY_RECORDS as MAX_HISTORY_RECORDS
 from ._state import MAX_STORED_RESULTS as MAX_STORED_RESULTS
--- a/libs/catalogue/siskinsail_catalogue/_change.py
+++ b/libs/catalogue/siskinsail_catalogue/_change.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from siskinsail_types import CatalogueVersion
+from siskinsail_types import DECODE_ERRORS
 from siskinsail_types import EntryKind
 from siskinsail_types import EntryVersion
 from siskinsail_types import SiskinsailError
@@ -173,7 +174,7 @@
     """
     try:
         request_body = msgspec.json.decode(body, type=_ChangeBody)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Failure(
             InvalidCatalogueError((Mistake('', '', '', str(error)),))
         )
--- a/libs/catalogue/siskinsail_catalogue/_configuration.py
+++ b/libs/catalogue/siskinsail_catalogue/_configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from siskinsail_types import ConfigurationVersion
+from siskinsail_types import DECODE_ERRORS
 from siskinsail_types import ProtocolError
 
 from ._entry import Entry
@@ -66,5 +67,5 @@
                 'the configuration exceeds the size limit or is truncated'
             )
         return _decoder.decode(content)
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, *DECODE_ERRORS) as error:
         raise ProtocolError(f'invalid configuration: {error}') from error
--- a/libs/control/siskinsail_control/_membership.py
+++ b/libs/control/siskinsail_control/_membership.py
@@ -16,6 +16,10 @@
 
 # Limit on the databases of one leader; a fleet is planned to have 800.
 MAX_KNOWN_DATABASES = 10_000
+# Announcements of a live database arrive within seconds of each other. A
+# sequence number that is further ahead was not sent by that database, and
+# would make all its later announcements outdated.
+MAX_SEQUENCE_GAP = 1_000
 
 
 @dataclass(slots=True)
@@ -105,7 +109,7 @@
         received_s = self._clock.now_s() - max(age_s, 0.0)
         if received_s <= self._clock.now_s() - self._settings.announcement_s:
             return False
-        if self._is_outdated(server):
+        if self._is_outdated(server) or self._is_implausible(server):
             return False
         self._remove_predecessors(server)
         record = self._records.get(server.database)
@@ -246,6 +250,17 @@
             for other in self._others_at_address(server)
         )
 
+    def _is_implausible(self, server: BackendServer) -> bool:
+        """Return whether a sequence number cannot follow the last one."""
+        record = self._records.get(server.database)
+        return (
+            record is not None
+            and record.latest.incarnation == server.incarnation
+            # The databases that an earlier leader stored have no sequence.
+            and record.latest.sequence > 0
+            and server.sequence - record.latest.sequence > MAX_SEQUENCE_GAP
+        )
+
     def _remove_predecessors(self, server: BackendServer) -> None:
         """Remove earlier databases at the address of an announcement."""
         for other in self._others_at_address(server):
--- a/libs/control/siskinsail_control/_operator_api.py
+++ b/libs/control/siskinsail_control/_operator_api.py
@@ -12,10 +12,11 @@
 import prometheus_client
 
 from siskinsail_catalogue import BackendServer
+from siskinsail_catalogue import check_backend_server
 from siskinsail_catalogue import key_digest
 from siskinsail_net import HttpRequest
 from siskinsail_net import HttpResponse
-from siskinsail_types import Address
+from siskinsail_types import DECODE_ERRORS
 from siskinsail_types import KeyDigest
 from siskinsail_types import LeaseState
 from siskinsail_types import ProtocolError
@@ -30,9 +31,6 @@
 # Longer than an election, and shorter than the 2 s after the requested wait
 # after which operator clients time out.
 FORWARD_TIMEOUT_S = 1.7
-MAX_NAME_LENGTH = 128
-MAX_POSITION = (1 << 63) - 1
-MAX_COUNT = 100_000
 _BEARER = 'Bearer '
 
 _Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -151,8 +149,8 @@
     async def _announce(self, request: HttpRequest) -> HttpResponse:
         try:
             server = msgspec.json.decode(request.body, type=BackendServer)
-            _check_announcement(server)
-        except (msgspec.DecodeError, ProtocolError) as error:
+            check_backend_server(server)
+        except (*DECODE_ERRORS, ProtocolError) as error:
             return _error(400, 'malformed_request', str(error))
         self._agent.record_announcement(server)
         return HttpResponse.json(200, {})
@@ -208,36 +206,10 @@
         )
 
 
-def _check_announcement(server: BackendServer) -> None:
-    """Check that an announcement can be forwarded to the leader.
-
-    Raises
-    ------
-    ProtocolError
-        If an address, a name or a number is out of range.
-    """
-    Address.parse(server.address)
-    Address.parse(server.admin_address)
-    for name in (server.group, server.database, server.data_centre):
-        if not 0 < len(name) <= MAX_NAME_LENGTH:
-            raise ProtocolError(
-                'a name in the announcement is empty or too long'
-            )
-    for address in (server.address, server.admin_address):
-        if len(address) > MAX_NAME_LENGTH:
-            raise ProtocolError('an address in the announcement is too long')
-    for number in (server.term, server.log_term, server.index):
-        if not 0 <= number <= MAX_POSITION:
-            raise ProtocolError('a term or log index is out of range')
-    for count in (server.slots, server.connections):
-        if not 0 <= count <= MAX_COUNT:
-            raise ProtocolError('slots or connections are out of range')
-
-
 def _requested_wait_s(body: bytes) -> float:
     try:
         return max(0.0, msgspec.json.decode(body, type=_WaitField).wait_s)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return 0.0
 
 
--- a/libs/control/siskinsail_control/_operator_request_handler.py
+++ b/libs/control/siskinsail_control/_operator_request_handler.py
@@ -18,6 +18,7 @@
 from siskinsail_catalogue import entry_to_dict
 from siskinsail_catalogue import Mistake
 from siskinsail_telemetry import log_event
+from siskinsail_types import DECODE_ERRORS
 from siskinsail_types import KeyState
 from siskinsail_types import ProtocolError
 from siskinsail_types import SiskinsailError
@@ -158,7 +159,7 @@
             placement_request = msgspec.json.decode(
                 request.body, type=PlacementRequest
             )
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return _invalid_answer(
                 str(error), (Mistake('', '', '', str(error)),)
             )
--- a/libs/control/siskinsail_control/_view_log.py
+++ b/libs/control/siskinsail_control/_view_log.py
@@ -12,6 +12,7 @@
 from siskinsail_catalogue import View
 from siskinsail_types import CatalogueVersion
 from siskinsail_types import DatabaseId
+from siskinsail_types import DECODE_ERRORS
 from siskinsail_types import ProtocolError
 from siskinsail_types import ServiceId
 from siskinsail_types import ViewVersion
@@ -67,7 +68,7 @@
     """
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise ProtocolError(f'not a view delta: {error}') from error
 
 
--- a/libs/daemon/siskinsail_daemon/_daemon.py
+++ b/libs/daemon/siskinsail_daemon/_daemon.py
@@ -22,6 +22,7 @@
 from siskinsail_proxy import bad_request_response
 from siskinsail_proxy import Proxy
 from siskinsail_telemetry import EventLog
+from siskinsail_telemetry import UNEXPECTED_ERRORS
 from siskinsail_types import Clock
 
 from ._control_role import ControlRole
@@ -61,6 +62,7 @@
         self._clock = clock
         self._accepts_clients = False
         registry = prometheus_client.CollectorRegistry()
+        registry.register(UNEXPECTED_ERRORS)
         prometheus_client.ProcessCollector(registry=registry)
         network = make_network(settings)
         metrics = ControlMetrics(registry)
--- a/libs/net/siskinsail_net/_http_client.py
+++ b/libs/net/siskinsail_net/_http_client.py
@@ -9,6 +9,7 @@
 
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
+from siskinsail_types import DECODE_ERRORS
 from siskinsail_types import LimitExceededError
 from siskinsail_types import ProtocolError
 from siskinsail_types import TransportError
@@ -172,7 +173,7 @@
             decoded = (
                 msgspec.json.decode(response.body) if response.body else None
             )
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             await self.aclose()
             raise ProtocolError(
                 f'{self._remote}: the response body is not valid JSON'
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -10,6 +10,7 @@
 import anyio.abc
 import httptools
 
+from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
 
 from ._http_message import HttpConnection
@@ -94,8 +95,8 @@
     network : Network
         Network that accepts the connections.
     handler : callable
-        Returns the response to a request. It must not raise: every failure
-        must become a response.
+        Returns the response to a request. An exception is a defect; it is
+        recorded and answered with status 500.
     bad_request : callable
         Builds the response to invalid or oversized input, from an HTTP
         status and a message.
@@ -183,7 +184,7 @@
     ) -> bool:
         while parser.requests:
             request = parser.requests.popleft()
-            response = await self._handler(request)
+            response = await self._answer(request)
             if self._draining or not request.keep_alive:
                 response.close = True
             await stream.send(response.encode())
@@ -191,6 +192,14 @@
                 return False
         return True
 
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._handler(request)
+        except Exception as error:
+            # One request must not end the process and all other requests.
+            record_unexpected_error('http_request', error)
+            return self._bad_request(500, 'internal error')
+
     async def _send_error(
         self, stream: anyio.abc.ByteStream, status: int, message: str
     ) -> None:
--- a/libs/net/siskinsail_net/_network.py
+++ b/libs/net/siskinsail_net/_network.py
@@ -10,6 +10,7 @@
 import anyio
 import anyio.abc
 
+from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
 from siskinsail_types import ListenError
@@ -133,7 +134,16 @@
     task_status : TaskStatus
         Started with the bound address once the listener is open.
     """
+
+    async def handle_safely(stream: anyio.abc.SocketStream) -> None:
+        try:
+            await handle(stream)
+        except Exception as error:
+            # One connection must not end the process and all the others.
+            record_unexpected_error('connection', error)
+            await anyio.aclose_forcefully(stream)
+
     listener = await network.listen(local)
     async with listener:
         task_status.started(bound_address(listener))
-        await listener.serve(handle)
+        await listener.serve(handle_safely)
--- a/libs/net/siskinsail_net/_peer_server.py
+++ b/libs/net/siskinsail_net/_peer_server.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from siskinsail_telemetry import log_event
+from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
 from siskinsail_types import PeerAuthenticationError
 from siskinsail_types import ProtocolError
@@ -164,6 +165,12 @@
             return _failure_frame(
                 request.request_id, type(error).__name__, str(error)
             )
+        except Exception as error:
+            # One call must not end the process and all other calls.
+            record_unexpected_error('peer_call', error)
+            return _failure_frame(
+                request.request_id, 'InternalError', 'internal error'
+            )
         return Frame(FrameKind.ANSWER, request.request_id, '', payload)
 
     async def _refuse_peer(
--- a/libs/proxy/siskinsail_proxy/_expiry_statements.py
+++ b/libs/proxy/siskinsail_proxy/_expiry_statements.py
@@ -7,6 +7,7 @@
 from siskinsail_backend import ExecuteAnswer
 from siskinsail_backend import Operation
 from siskinsail_backend import Statement
+from siskinsail_types import DECODE_ERRORS
 
 from ._records import RECORD_TABLE
 
@@ -132,5 +133,5 @@
     # A record that cannot be decoded must not prevent the deletion of others.
     try:
         return _time_decoder.decode(value).at_s
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return 0
--- a/libs/proxy/siskinsail_proxy/_expiry_transactions.py
+++ b/libs/proxy/siskinsail_proxy/_expiry_transactions.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import msgspec
 from returns.result import Failure
 from returns.result import Result
 
@@ -17,6 +16,7 @@
 from siskinsail_net import HttpConnection
 from siskinsail_types import AccountId
 from siskinsail_types import Clock
+from siskinsail_types import DECODE_ERRORS
 from siskinsail_types import RequestError
 from siskinsail_types import RequestId
 from siskinsail_types import ServiceId
@@ -108,7 +108,7 @@
             remaining_s = self._dispatcher.remaining_s(context)
             try:
                 writes = transaction.build_writes(begun.unwrap())
-            except (msgspec.DecodeError, IndexError) as error:
+            except (*DECODE_ERRORS, IndexError) as error:
                 await connection.rollback(context.request_id, remaining_s)
                 return Failure(UnreadableError(str(error)))
             if not writes:
--- a/libs/sessions/siskinsail_sessions/_codec.py
+++ b/libs/sessions/siskinsail_sessions/_codec.py
@@ -10,6 +10,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_types import DECODE_ERRORS
+
 from ._errors import ForeignTokenError
 from ._errors import MalformedTokenError
 from ._errors import TokenError
@@ -95,7 +97,7 @@
 def _decode_session(payload: bytes) -> Result[Session, TokenError]:
     try:
         session = _decoder.decode(payload)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return Failure(
             MalformedTokenError('the token does not contain a session')
         )
--- a/libs/telemetry/siskinsail_telemetry/__init__.py
+++ b/libs/telemetry/siskinsail_telemetry/__init__.py
@@ -12,3 +12,5 @@
 from ._timeline import read_events as read_events
 from ._timeline import read_log as read_log
 from ._timeline import TimelineFilter as TimelineFilter
+from ._unexpected import record_unexpected_error as record_unexpected_error
+from ._unexpected import UNEXPECTED_ERRORS as UNEXPECTED_ERRORS
--- a/libs/telemetry/siskinsail_telemetry/_timeline.py
+++ b/libs/telemetry/siskinsail_telemetry/_timeline.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from siskinsail_types import DECODE_ERRORS
+
 Event = Mapping[str, Any]
 
 
@@ -139,7 +141,7 @@
     for line in lines:
         try:
             event = msgspec.json.decode(line)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             continue
         if isinstance(event, dict):
             yield event
--- a/libs/types/siskinsail_types/__init__.py
+++ b/libs/types/siskinsail_types/__init__.py
@@ -4,6 +4,7 @@
 from ._clock import Clock as Clock
 from ._clock import ManualClock as ManualClock
 from ._clock import SystemClock as SystemClock
+from ._decoding import DECODE_ERRORS as DECODE_ERRORS
 from ._errors import CallTimeoutError as CallTimeoutError
 from ._errors import ErrorCode as ErrorCode
 from ._errors import flatten_errors as flatten_errors
