--- a/libs/backend/siskinsail_backend/_account_pool.py
+++ b/libs/backend/siskinsail_backend/_account_pool.py
@@ -125,6 +125,11 @@
         self._opening_count = 0
         self._pacer = RequestPacer(clock, random.random)
 
+    @property
+    def server(self) -> BackendServer:
+        """The database, as it was announced when the pool was created."""
+        return self._server
+
     @property
     def open_connections(self) -> int:
         """Number of connections open, being opened or being closed."""
--- a/libs/catalogue/siskinsail_catalogue/__init__.py
+++ b/libs/catalogue/siskinsail_catalogue/__init__.py
@@ -35,5 +35,6 @@
 from ._validation import MAX_ENTRIES as MAX_ENTRIES
 from ._view import BackendServer as BackendServer
 from ._view import GroupState as GroupState
+from ._view import ServingDaemon as ServingDaemon
 from ._view import View as View
 from ._view import ViewSource as ViewSource
--- a/libs/catalogue/siskinsail_catalogue/_view.py
+++ b/libs/catalogue/siskinsail_catalogue/_view.py
@@ -19,6 +19,7 @@
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
 from siskinsail_types import ViewVersion
+from siskinsail_types import VmId
 
 from ._entry import AccountEntry
 from ._entry import BackendServerEntry
@@ -73,6 +74,20 @@
         return self.term > 0
 
 
+class ServingDaemon(msgspec.Struct, frozen=True):
+    """A daemon that serves callers and runs statements for other daemons.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` at which other daemons call it.
+    """
+
+    vm: VmId
+    data_centre: DataCentreId
+    address: str
+
+
 class GroupState(msgspec.Struct, frozen=True):
     """Replicated state of a database group.
 
@@ -113,6 +128,9 @@
         Databases that have announced themselves.
     token_secrets : tuple of bytes
         Secrets for session tokens. The first one signs; all of them verify.
+    daemons : tuple of ServingDaemon
+        Daemons that run statements for others. Empty while the leader does
+        not know them all yet.
     """
 
     version: ViewVersion
@@ -121,6 +139,7 @@
     groups: tuple[GroupState, ...] = ()
     backends: tuple[BackendServer, ...] = ()
     token_secrets: tuple[bytes, ...] = ()
+    daemons: tuple[ServingDaemon, ...] = ()
 
     @cached_property
     def services(self) -> dict[ServiceId, ServiceEntry]:
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -69,11 +69,15 @@
     ----------
     incarnation : str
         Identifier of the process, unique to each start.
+    peer_address : str
+        ``host:port`` at which other daemons may call this one to run
+        statements; empty if it does not run any for them.
     """
 
     vm: VmId
     data_centre: DataCentreId
     incarnation: str
+    peer_address: str = ''
 
 
 class ControlAgent:
@@ -331,6 +335,9 @@
             changes_only=changes_only,
             answered_sequence=self._answered_sequence,
             used_share_s=used_share_s,
+            peer_address=(
+                '' if self._leader_term else self._identity.peer_address
+            ),
         )
 
     def _primaries(self) -> frozenset[DatabaseId]:
--- a/libs/control/siskinsail_control/_connection_lender.py
+++ b/libs/control/siskinsail_control/_connection_lender.py
@@ -353,9 +353,12 @@
     def _lendable_total(self, total: int) -> int:
         """Return the connections of a database without the reserve.
 
-        One connection for each daemon comes before the reserve.
+        One connection for each daemon comes before the reserve, unless
+        daemons without demand need none.
         """
         reserve = int(total * self._settings.connection_reserve)
+        if self._settings.connections_by_demand:
+            return total - reserve
         daemon_count = len(self._lending_order) + self._awaited_count
         return max(min(total, daemon_count), total - reserve)
 
@@ -368,12 +371,12 @@
             share = total // len(order) if order else 0
             return dict.fromkeys(order, share) if share else {}
         demands = self._demands(database)
-        if total >= len(order):
+        if total >= len(order) and not self._settings.connections_by_demand:
             shares = shares_by_demand(
                 total, [demands.get(key, 0) for key in order]
             )
             return dict(zip(order, shares, strict=True))
-        return self._share_scarce(database, total, demands)
+        return self._share_by_demand(database, total, demands)
 
     def _demands(self, database: DatabaseId) -> dict[DaemonKey, int]:
         """Return the demand of the daemons that need connections."""
@@ -383,13 +386,13 @@
             if allocation.peak_demand and daemon not in self._lapsed
         }
 
-    def _share_scarce(
+    def _share_by_demand(
         self, database: DatabaseId, total: int, demands: dict[DaemonKey, int]
     ) -> dict[DaemonKey, int]:
-        """Divide fewer connections than there are daemons.
+        """Divide connections among the daemons with demand, then the others.
 
-        Daemons with demand come first. The order differs between databases,
-        so that no daemon is the last one for all of them.
+        The order differs between databases, so that no daemon is the last one
+        for all of them.
         """
 
         def order_key(daemon: DaemonKey) -> int:
--- a/libs/control/siskinsail_control/_daemon_table.py
+++ b/libs/control/siskinsail_control/_daemon_table.py
@@ -39,6 +39,8 @@
         Sequence number of the call that registered the daemon.
     answer : SentAnswer or None
         The last answer that granted a lease.
+    peer_address : str
+        Address at which other daemons call it; empty if they must not.
     wake : anyio.Event
         Event that ends the long poll of the daemon.
     """
@@ -52,6 +54,7 @@
     ready: bool = False
     registration: int = 0
     answer: SentAnswer | None = None
+    peer_address: str = ''
     wake: anyio.Event = field(default_factory=anyio.Event)
 
     @property
--- a/libs/control/siskinsail_control/_leader_context.py
+++ b/libs/control/siskinsail_control/_leader_context.py
@@ -2,6 +2,7 @@
 
 from returns.result import Result
 
+from siskinsail_catalogue import ServingDaemon
 from siskinsail_consensus import Applied
 from siskinsail_consensus import ProposeError
 from siskinsail_net import Network
@@ -71,6 +72,7 @@
             replica.earlier_lease_end_s,
         )
         self.membership = Membership(settings, clock)
+        self.serving_daemons: tuple[ServingDaemon, ...] = ()
 
     @property
     def still_leads(self) -> bool:
@@ -97,6 +99,7 @@
             tuple(self.state.groups.values()),
             self.membership.servers,
             self.state.token_secrets,
+            self.serving_daemons,
         )
         if changed:
             log_event('control_view', view_version=self.view_log.version)
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -4,12 +4,14 @@
 connections.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import anyio
 import anyio.abc
 from returns.result import Success
 
+from siskinsail_catalogue import ServingDaemon
 from siskinsail_limits import LoanGrant
 from siskinsail_telemetry import log_event
 from siskinsail_types import AccountId
@@ -39,6 +41,10 @@
 from ._messages import SyncRequest
 from ._state import DaemonKey
 
+# Each change of the view makes every daemon call, so that the daemons that
+# start together are published together.
+SERVING_UPDATE_INTERVAL_S = 0.5
+
 
 def borrower_name(key: DaemonKey) -> str:
     """Return the name of a daemon as a borrower of tokens."""
@@ -46,6 +52,23 @@
     return f'{vm}/{incarnation}'
 
 
+def serving_daemons(
+    records: Iterable[DaemonRecord],
+) -> tuple[ServingDaemon, ...]:
+    """Return the daemons that run statements for others, by name.
+
+    A daemon that shuts down is not ready and gets no more of them.
+    """
+    serving = {
+        record.vm: ServingDaemon(
+            record.vm, record.data_centre, record.peer_address
+        )
+        for record in sorted(records, key=lambda record: record.key)
+        if record.ready and record.peer_address
+    }
+    return tuple(serving.values())
+
+
 class Leadership:
     """Answers the calls of daemons while this member leads one term.
 
@@ -74,6 +97,7 @@
         self._members = ''
         self._deregistered: set[DaemonKey] = set()
         self._registering: set[DaemonKey] = set()
+        self._next_serving_update_s = 0.0
 
     @property
     def context(self) -> LeaderContext:
@@ -132,6 +156,7 @@
         record.ready = request.ready
         if request.leader_term == 0:
             record.registration = request.sequence
+            record.peer_address = request.peer_address
             self._record_restart(key)
             self._token_lender.register(
                 borrower_name(key),
@@ -428,6 +453,7 @@
         )
         if self._context.membership.expire():
             self._on_membership_change()
+        self._update_serving_daemons()
         self._update_connection_lending()
         self._context.metrics.leases.set(len(self._daemon_table.leased))
         self._update_group_watchers(tasks)
@@ -437,6 +463,23 @@
                 self._context.view_log.start_range(started.unwrap().index)
         await self._expire_unresponsive_daemons()
 
+    def _update_serving_daemons(self) -> None:
+        """Publish which daemons run statements for others.
+
+        A new leader publishes none until it knows them all.
+        """
+        now_s = self._clock.now_s()
+        if (
+            now_s < self._next_serving_update_s
+            or not self._daemon_table.earlier_leases_ended
+        ):
+            return
+        serving = serving_daemons(self._daemon_table.leased)
+        if serving != self._context.serving_daemons:
+            self._next_serving_update_s = now_s + SERVING_UPDATE_INTERVAL_S
+            self._context.serving_daemons = serving
+            self._context.publish()
+
     def _update_connection_lending(self) -> None:
         for record in self._daemon_table.records:
             if self._daemon_table.time_without_lease_s(record.key) >= 0:
--- a/libs/control/siskinsail_control/_messages.py
+++ b/libs/control/siskinsail_control/_messages.py
@@ -13,6 +13,7 @@
 from siskinsail_limits import LoanBalance
 from siskinsail_limits import LoanGrant
 from siskinsail_limits import LoanReport
+from siskinsail_net import MessageCodec
 from siskinsail_types import AccountId
 from siskinsail_types import DatabaseId
 from siskinsail_types import DatabaseRole
@@ -22,8 +23,6 @@
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
 
-from ._codec import MessageCodec
-
 capnp.remove_import_hook()
 _schema: Any = capnp.load(str(Path(__file__).with_name('control.capnp')))
 
@@ -174,6 +173,7 @@
     changes_only: bool = False
     answered_sequence: int = 0
     used_share_s: float = 0.0
+    peer_address: str = ''
 
     @property
     def is_idle(self) -> bool:
--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -63,6 +63,10 @@
         that restart while the database still counts the connections of
         their earlier processes; each daemon gets one connection before
         the reserve is set aside
+    connections_by_demand : bool
+        lend connections to daemons with demand first; without this, each
+        daemon first gets one, so that it can serve its first request without
+        a call, which is not needed where daemons forward statements
     equal_connection_shares : bool
         divide connections equally, regardless of demand (baseline)
     tick_s : float
@@ -99,6 +103,7 @@
     suspend_s: Seconds = 10.0
     demand_s: Seconds = 2.0
     connection_reserve: Share = 0.0
+    connections_by_demand: bool = False
     equal_connection_shares: bool = False
     tick_s: Seconds = 0.05
 
--- a/libs/control/siskinsail_control/_view_log.py
+++ b/libs/control/siskinsail_control/_view_log.py
@@ -9,6 +9,7 @@
 from siskinsail_catalogue import entry_key
 from siskinsail_catalogue import EntryKey
 from siskinsail_catalogue import GroupState
+from siskinsail_catalogue import ServingDaemon
 from siskinsail_catalogue import View
 from siskinsail_types import CatalogueVersion
 from siskinsail_types import DatabaseId
@@ -16,6 +17,7 @@
 from siskinsail_types import ProtocolError
 from siskinsail_types import ServiceId
 from siskinsail_types import ViewVersion
+from siskinsail_types import VmId
 
 # A view version is a log index shifted left by this number of bits, plus the
 # number of changes since that entry which are not in the log (backend servers
@@ -52,6 +54,8 @@
     removed_groups: tuple[ServiceId, ...] = ()
     backends: tuple[BackendServer, ...] = ()
     removed_backends: tuple[DatabaseId, ...] = ()
+    daemons: tuple[ServingDaemon, ...] = ()
+    removed_daemons: tuple[VmId, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -89,15 +93,19 @@
     entries = {entry_key(entry): entry for entry in base_view.entries}
     groups = {group.group: group for group in base_view.groups}
     backends = {server.database: server for server in base_view.backends}
+    daemons = {daemon.vm: daemon for daemon in base_view.daemons}
     entries.update((entry_key(entry), entry) for entry in delta.entries)
     groups.update((group.group, group) for group in delta.groups)
     backends.update((server.database, server) for server in delta.backends)
+    daemons.update((daemon.vm, daemon) for daemon in delta.daemons)
     for key in delta.removed_entries:
         entries.pop(key, None)
     for service in delta.removed_groups:
         groups.pop(service, None)
     for database in delta.removed_backends:
         backends.pop(database, None)
+    for vm in delta.removed_daemons:
+        daemons.pop(vm, None)
     return make_view(
         delta.version,
         delta.catalogue_version,
@@ -105,6 +113,7 @@
         tuple(groups.values()),
         tuple(backends.values()),
         delta.token_secrets,
+        tuple(daemons.values()),
     )
 
 
@@ -115,6 +124,7 @@
     groups: tuple[GroupState, ...],
     backends: tuple[BackendServer, ...],
     token_secrets: tuple[bytes, ...],
+    daemons: tuple[ServingDaemon, ...] = (),
 ) -> View:
     """Build a view whose elements are in a canonical order."""
     return View(
@@ -124,6 +134,7 @@
         tuple(sorted(groups, key=lambda group: group.group)),
         tuple(sorted(backends, key=lambda server: server.database)),
         token_secrets,
+        tuple(sorted(daemons, key=lambda daemon: daemon.vm)),
     )
 
 
@@ -177,6 +188,7 @@
         groups: tuple[GroupState, ...],
         backends: tuple[BackendServer, ...],
         token_secrets: tuple[bytes, ...],
+        daemons: tuple[ServingDaemon, ...] = (),
     ) -> bool:
         """Set the contents of the view; return whether anything changed."""
         version = ViewVersion(max(self.version + 1, self._range_start))
@@ -187,6 +199,7 @@
             groups,
             backends,
             token_secrets,
+            daemons,
         )
         if msgspec.structs.replace(view, version=self.version) == self._view:
             return False
@@ -223,8 +236,15 @@
                 view.groups,
                 (),
                 view.backends,
+                (),
+                view.daemons,
             )
-        removed: dict[str, list[Any]] = {'entry': [], 'group': [], 'db': []}
+        removed: dict[str, list[Any]] = {
+            'entry': [],
+            'group': [],
+            'db': [],
+            'daemon': [],
+        }
         for (part, name), version in self._removed.items():
             if version > base:
                 removed[part].append(name)
@@ -254,6 +274,12 @@
                 if ('db', server.database) in changed
             ),
             tuple(removed['db']),
+            tuple(
+                daemon
+                for daemon in view.daemons
+                if ('daemon', daemon.vm) in changed
+            ),
+            tuple(removed['daemon']),
         )
 
     def _record_changes(self, view: View) -> None:
@@ -278,4 +304,5 @@
     }
     parts.update((('group', group.group), group) for group in view.groups)
     parts.update((('db', server.database), server) for server in view.backends)
+    parts.update((('daemon', daemon.vm), daemon) for daemon in view.daemons)
     return parts
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -96,6 +96,9 @@
   # In a registration: seconds since the last answer in which the daemon
   # admitted requests at its own share of each rate, without tokens.
   usedShareS @14 :Float64;
+  # In a registration: host:port at which other daemons call this one; empty
+  # if it runs no statements for them.
+  peerAddress @15 :Text;
 }
 
 struct SyncAnswer {
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -164,14 +164,21 @@
         self.tasks.start_soon(service.run)
 
     def start_agent(
-        self, vm: str, data_centre: str = 'a', incarnation: str = '1'
+        self,
+        vm: str,
+        data_centre: str = 'a',
+        incarnation: str = '1',
+        peer_address: str = '',
     ) -> ControlAgent:
         borrower = Borrower(LimitSettings(), self.clock)
         self.borrowers[vm] = borrower
         agent = ControlAgent(
             self.settings,
             DaemonIdentity(
-                vm=vm, data_centre=data_centre, incarnation=incarnation
+                vm=vm,
+                data_centre=data_centre,
+                incarnation=incarnation,
+                peer_address=peer_address,
             ),
             self.members,
             self.network,
--- a/libs/control/tests/test_fleet.py
+++ b/libs/control/tests/test_fleet.py
@@ -73,6 +73,46 @@
     assert second.lease_state is not LeaseState.HELD
 
 
+def _serving(agent) -> set[str]:
+    return {daemon.vm for daemon in agent.view.daemons}
+
+
+async def test_the_view_names_the_daemons_that_serve_others(fleet):
+    """Guards against statements sent to daemons that are gone or stopping."""
+    agents = [
+        fleet.start_agent(vm, peer_address=f'127.0.0.1:{port}')
+        for port, vm in enumerate('abc', 1)
+    ]
+    other = fleet.start_agent('d')
+    agents.append(other)
+    for agent in agents:
+        await wait_until(lambda agent=agent: _serving(agent) == set('abc'))
+    assert other.view.daemons[1].address == '127.0.0.1:2'
+    # A daemon that shuts down is not ready first, and runs for a while.
+    agents[1].set_readiness(lambda: False)
+    await wait_until(lambda: _serving(other) == {'a', 'c'})
+    fleet.kill('c')
+    await wait_until(lambda: _serving(other) == {'a'})
+
+
+async def test_a_new_leader_names_the_serving_daemons_again(fleet):
+    """Guards against a fleet that forgets its holders with its leader."""
+    agents = [
+        fleet.start_agent(vm, peer_address='127.0.0.1:1') for vm in 'abc'
+    ]
+    for agent in agents:
+        await wait_until(lambda agent=agent: _serving(agent) == set('abc'))
+    fleet.log.elect('m1')
+    seen = []
+    with anyio.move_on_after(2.0):
+        while True:
+            seen.append(_serving(agents[0]))
+            await agents[0].wait_for_change(agents[0].view.version)
+    # A view without daemons says nothing; one with some names all of them.
+    assert all(names in (set(), set('abc')) for names in seen)
+    assert _serving(agents[0]) == set('abc')
+
+
 async def test_concurrent_and_resent_changes(fleet):
     first, second = await _start_agents(fleet, 'a', 'b')
     answers = {}
--- a/libs/control/tests/test_view_log.py
+++ b/libs/control/tests/test_view_log.py
@@ -12,6 +12,7 @@
 from siskinsail_catalogue import AccountEntry
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import GroupState
+from siskinsail_catalogue import ServingDaemon
 from siskinsail_catalogue import View
 from siskinsail_control import apply_delta
 from siskinsail_control import ViewDelta
@@ -52,7 +53,17 @@
     ]
     generator.shuffle(entries)
     secrets = (bytes([generator.randint(0, 1)]),)
-    return tuple(entries), tuple(groups), tuple(backends), secrets
+    daemons = [
+        ServingDaemon(name, 'a', f'10.0.0.{generator.randint(1, 2)}:1')
+        for name in names[2:]
+    ]
+    return (
+        tuple(entries),
+        tuple(groups),
+        tuple(backends),
+        secrets,
+        tuple(daemons),
+    )
 
 
 def _decode(data: bytes) -> ViewDelta:
@@ -65,8 +76,7 @@
     log = ViewLog(7)
     views = [EMPTY_VIEW, log.view]
     for number in range(20):
-        entries, groups, backends, secrets = _random_contents(generator)
-        log.publish(number, entries, groups, backends, secrets)
+        log.publish(number, *_random_contents(generator))
         full_view = apply_delta(EMPTY_VIEW, _decode(log.encoded_delta(0)))
         assert full_view == log.view
         for view in views:
--- a/libs/net/siskinsail_net/__init__.py
+++ b/libs/net/siskinsail_net/__init__.py
@@ -18,6 +18,7 @@
 from ._http_server import BadRequestHandler as BadRequestHandler
 from ._http_server import Handler as Handler
 from ._http_server import HttpServer as HttpServer
+from ._message_codec import MessageCodec as MessageCodec
 from ._network import bound_address as bound_address
 from ._network import DISCONNECTED as DISCONNECTED
 from ._network import Network as Network
--- a/libs/net/siskinsail_net/_peer_client.py
+++ b/libs/net/siskinsail_net/_peer_client.py
@@ -111,6 +111,7 @@
         self._peer_id = VmId('')
         self._is_loss_logged = False
         self._connection_generation = 0
+        self._failed_attempts = 0
 
     @property
     def remote(self) -> Address:
@@ -132,12 +133,38 @@
         """Number of connections so far; identifies the current connection."""
         return self._connection_generation
 
+    @property
+    def failed_attempts(self) -> int:
+        """Number of attempts to connect that failed since the last success."""
+        return self._failed_attempts
+
+    @property
+    def unanswered_s(self) -> float:
+        """Time for which the peer has answered none of the pending calls.
+
+        Returns
+        -------
+        float
+            Seconds since the first call after the last received frame; 0 if
+            no call is pending.
+        """
+        if self._waiting_since_s is None or not self._pending:
+            return 0.0
+        return self._clock.now_s() - self._waiting_since_s
+
+    async def wait_connected(self, timeout_s: float) -> bool:
+        """Wait for the connection; return whether it is established."""
+        with anyio.move_on_after(timeout_s):
+            await self._connected.wait()
+        return self.is_connected
+
     async def run(self) -> None:
         """Maintain the connection until cancelled."""
         while True:
             try:
                 await self._connect_and_receive()
             except (SiskinsailError, TimeoutError, *DISCONNECTED) as error:
+                self._failed_attempts += 1
                 self._log_connection_loss(error)
             await anyio.sleep(RECONNECT_DELAY_S)
 
@@ -206,6 +233,7 @@
                 await self._authenticate(frames)
             self._frames = frames
             self._connection_generation += 1
+            self._failed_attempts = 0
             self._waiting_since_s = None
             self._connected.set()
             self._is_loss_logged = False
--- a/libs/statements/siskinsail_statements/_admission.py
+++ b/libs/statements/siskinsail_statements/_admission.py
@@ -25,6 +25,7 @@
 from siskinsail_types import RouteId
 from siskinsail_types import Secret
 
+from ._operation import OperationPolicy
 from ._outcome import StatementError
 from ._outcome import StatementErrorCode
 from ._settings import StatementSettings
@@ -44,6 +45,19 @@
     policy: SessionPolicy
     caller: Caller
 
+    @property
+    def operation_policy(self) -> OperationPolicy:
+        """What the execution of an operation needs to know."""
+        return OperationPolicy(
+            self.route.service,
+            self.caller.account,
+            self.caller.weight,
+            self.policy.consistency,
+            self.route.max_age_s,
+            self.policy.latency_objective_s,
+            self.policy.priority,
+        )
+
 
 class SessionAdmission:
     """Checks routes, API keys and rate limits of sessions.
--- a/libs/statements/siskinsail_statements/_connection.py
+++ b/libs/statements/siskinsail_statements/_connection.py
@@ -6,14 +6,18 @@
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_backend import AccountAcquireFailure
 from siskinsail_backend import ConnectionFailedError
 from siskinsail_types import AccountId
 from siskinsail_types import Position
 from siskinsail_types import RequestId
+from siskinsail_types import SiskinsailError
 
 from ._driver import DatabaseSession
 from ._outcome import Reply
 from ._outcome import TransactionState
+from ._positions import MinPosition
+from ._positions import ReadBound
 from ._statement import Begin
 from ._statement import Command
 from ._statement import Commit
@@ -28,7 +32,22 @@
 # Prepared statements of a connection before all are discarded.
 _MAX_PREPARED_STATEMENTS = 200
 
-ExchangeResult = Result[Reply, ConnectionFailedError]
+
+class NotRunError(SiskinsailError):
+    """A statement certainly did not run.
+
+    Parameters
+    ----------
+    cause : RequestError, PoolClosedError or DatabaseError
+        Why the holder of the connection did not run it.
+    """
+
+    def __init__(self, cause: AccountAcquireFailure) -> None:
+        super().__init__(str(cause))
+        self.cause = cause
+
+
+ExchangeResult = Result[Reply, ConnectionFailedError | NotRunError]
 
 
 class SessionVariables:
@@ -67,6 +86,11 @@
         """Client account for which the connection was opened."""
         return self._account
 
+    @property
+    def is_forwarded(self) -> bool:
+        """Whether another daemon runs the statements; always False."""
+        return False
+
     @property
     def is_lost(self) -> bool:
         """Whether the database closed or reset the connection."""
@@ -86,7 +110,7 @@
         self,
         variables: SessionVariables,
         begin: Begin,
-        min_position: Position | None,
+        min_position: MinPosition,
         timeout_s: float,
     ) -> ExchangeResult:
         """Begin a transaction with the values of a session."""
@@ -94,7 +118,7 @@
         # request is cancelled.
         self._is_in_transaction = True
         reply = await self._run(
-            variables, Command(begin, None, min_position), timeout_s
+            variables, Command(begin, None, _resolved(min_position)), timeout_s
         )
         self._update_transaction_state(reply)
         return reply
@@ -104,11 +128,11 @@
         variables: SessionVariables,
         statement: Query | Execute,
         request_id: RequestId,
-        min_position: Position | None,
+        min_position: MinPosition,
         timeout_s: float,
     ) -> ExchangeResult:
         """Run a statement with the values of a session."""
-        command = Command(statement, request_id, min_position)
+        command = Command(statement, request_id, _resolved(min_position))
         reply = await self._run(variables, command, timeout_s)
         self._update_transaction_state(reply)
         return reply
@@ -208,3 +232,9 @@
         if isinstance(reply, Success):
             state = reply.unwrap().state
             self._is_in_transaction = state is not TransactionState.IDLE
+
+
+def _resolved(min_position: MinPosition) -> Position | None:
+    if isinstance(min_position, ReadBound):
+        raise TypeError('the database needs a log position')
+    return min_position
--- a/libs/statements/siskinsail_statements/_context.py
+++ b/libs/statements/siskinsail_statements/_context.py
@@ -97,7 +97,8 @@
             return
         consistency = operation.consistency
         self.metrics.reads.labels(consistency.value, operation.served_by).inc()
-        self._sampler.record_read(operation)
+        if operation.needs_samples:
+            self._sampler.record_demand(operation.service, operation.account)
 
     def log_abort(
         self, authorization: Authorization | None, reason: str
--- /dev/null
+++ b/libs/statements/siskinsail_statements/_forwarder.py
@@ -0,0 +1,288 @@
+"""Calls of the daemons that hold connections to databases."""
+
+from typing import Protocol
+
+import anyio
+import anyio.abc
+
+from siskinsail_backend import DatabaseError
+from siskinsail_catalogue import BackendServer
+from siskinsail_catalogue import ServingDaemon
+from siskinsail_catalogue import View
+from siskinsail_catalogue import ViewSource
+from siskinsail_holders import HolderDirectory
+from siskinsail_holders import HolderHealth
+from siskinsail_holders import HolderSettings
+from siskinsail_net import Network
+from siskinsail_net import PeerCallError
+from siskinsail_net import PeerClient
+from siskinsail_telemetry import log_event
+from siskinsail_types import AccountId
+from siskinsail_types import Address
+from siskinsail_types import Clock
+from siskinsail_types import DatabaseId
+from siskinsail_types import ProtocolError
+from siskinsail_types import Secret
+from siskinsail_types import TransportError
+from siskinsail_types import VmId
+
+from ._forwarding_messages import decode_answer
+from ._forwarding_messages import encode_call
+from ._forwarding_messages import FORWARD_METHOD
+from ._forwarding_messages import ForwardedAnswer
+from ._forwarding_messages import ForwardedCall
+
+# Ten round trips between regions, in which a first connection is established.
+_CONNECT_WAIT_S = 0.3
+# Two trips between regions.
+_MIN_CALL_S = 0.03
+# Longer than any statement may take, since a holder answers at its deadline.
+_READ_TIMEOUT_S = 10.0
+# Connections to daemons that are not called any more are closed.
+_IDLE_CLIENT_S = 60.0
+_IDLE_CHECK_S = 10.0
+# Holders that one statement may try.
+_MAX_CANDIDATES = 3
+
+
+class HolderUnavailableError(DatabaseError):
+    """A holder could not be called, so the statement did not run."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__('holder_unavailable', message)
+
+
+class HolderLostError(DatabaseError):
+    """A holder was called and did not answer; the statement may have run."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__('holder_lost', message)
+
+
+class HolderClient(Protocol):
+    """Client of one holder; ``PeerClient`` implements it."""
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection is established."""
+        ...
+
+    @property
+    def failed_attempts(self) -> int:
+        """Number of attempts to connect since the last success."""
+        ...
+
+    async def wait_connected(self, timeout_s: float) -> bool:
+        """Wait for the connection; return whether it is established."""
+        ...
+
+    async def call(
+        self, method: str, payload: bytes, timeout_s: float
+    ) -> bytes:
+        """Call a method and return the payload of the answer."""
+        ...
+
+
+class HolderClients:
+    """Connections to holders, opened with the first call of each.
+
+    Parameters
+    ----------
+    network : Network
+        Network that makes the connections.
+    secret : Secret
+        Secret shared by all daemons of the fleet.
+    own : VmId
+        Name of this daemon.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, network: Network, secret: Secret, own: VmId, clock: Clock
+    ) -> None:
+        self._network = network
+        self._secret = secret
+        self._own = own
+        self._clock = clock
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._clients: dict[ServingDaemon, PeerClient] = {}
+        self._scopes: dict[ServingDaemon, anyio.CancelScope] = {}
+        self._last_used_s: dict[ServingDaemon, float] = {}
+
+    def client(self, daemon: ServingDaemon) -> HolderClient:
+        """Return the client of a holder."""
+        self._last_used_s[daemon] = self._clock.now_s()
+        client = self._clients.get(daemon)
+        if client is None:
+            client = PeerClient(
+                self._network,
+                Address.parse(daemon.address),
+                self._secret,
+                self._own,
+                read_timeout_s=_READ_TIMEOUT_S,
+                clock=self._clock,
+            )
+            self._clients[daemon] = client
+            if self._tasks is not None:
+                scope = self._scopes[daemon] = anyio.CancelScope()
+                self._tasks.start_soon(_run_client, client, scope)
+        return client
+
+    def unanswered_s(self, daemon: ServingDaemon) -> float:
+        """Return for how long a holder has answered no pending call."""
+        client = self._clients.get(daemon)
+        return 0.0 if client is None else client.unanswered_s
+
+    async def run(self) -> None:
+        """Maintain the connections until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            try:
+                while True:
+                    await anyio.sleep(_IDLE_CHECK_S)
+                    self._close_idle()
+            finally:
+                self._tasks = None
+
+    def _close_idle(self) -> None:
+        limit_s = self._clock.now_s() - _IDLE_CLIENT_S
+        for daemon, used_s in list(self._last_used_s.items()):
+            if used_s < limit_s:
+                del self._last_used_s[daemon]
+                del self._clients[daemon]
+                self._scopes.pop(daemon).cancel()
+
+
+async def _run_client(client: PeerClient, scope: anyio.CancelScope) -> None:
+    with scope:
+        await client.run()
+
+
+class Forwarder:
+    """Has holders run the statements of client accounts.
+
+    Parameters
+    ----------
+    settings : HolderSettings
+        Numbers of holders and times for which they are avoided.
+    own : VmId
+        Name of this daemon.
+    views : ViewSource
+        Current view, with the daemons and the accounts.
+    clients : HolderClients
+        Connections to holders.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        settings: HolderSettings,
+        own: VmId,
+        views: ViewSource,
+        clients: HolderClients,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._own = own
+        self._views = views
+        self._clients = clients
+        self._directory = HolderDirectory(settings, own)
+        self._health = HolderHealth(settings, clock)
+        self._clock = clock
+        self._view: View | None = None
+
+    @property
+    def clock(self) -> Clock:
+        """Source of time."""
+        return self._clock
+
+    def has_holders(self, server: BackendServer) -> bool:
+        """Tell whether any daemon holds connections to a database."""
+        self._update()
+        return bool(self._directory.holders(server, AccountId('')))
+
+    def candidates(
+        self, server: BackendServer, account: AccountId
+    ) -> tuple[ServingDaemon, ...]:
+        """Return the holders to call, best first.
+
+        The result is empty if the statements should run on this daemon.
+        """
+        self._update()
+        candidates: list[ServingDaemon] = []
+        for daemon in self._directory.holders(server, account):
+            if daemon.vm == self._own:
+                break
+            if self._is_usable(daemon):
+                candidates.append(daemon)
+            if len(candidates) == _MAX_CANDIDATES:
+                break
+        return tuple(candidates)
+
+    def assigned_accounts(self, database: DatabaseId) -> int:
+        """Return for how many accounts this daemon holds a database."""
+        self._update()
+        server = self._views.view.databases.get(database)
+        if server is None:
+            return 0
+        return self._directory.assigned_accounts(server)
+
+    async def call(
+        self, daemon: ServingDaemon, call: ForwardedCall, timeout_s: float
+    ) -> ForwardedAnswer:
+        """Call a holder.
+
+        Raises
+        ------
+        HolderUnavailableError
+            If there is no connection to the holder.
+        HolderLostError
+            If the holder does not answer.
+        """
+        if timeout_s < _MIN_CALL_S:
+            raise HolderUnavailableError('too little time is left for a call')
+        client = self._clients.client(daemon)
+        if not client.is_connected and (
+            client.failed_attempts
+            or not await client.wait_connected(min(timeout_s, _CONNECT_WAIT_S))
+        ):
+            self._record_failure(daemon, 'no connection')
+            raise HolderUnavailableError(f'no connection to {daemon.vm}')
+        try:
+            payload = await client.call(
+                FORWARD_METHOD, encode_call(call), timeout_s
+            )
+            answer = decode_answer(payload)
+        except (TransportError, ProtocolError, PeerCallError) as error:
+            # A call with little time left says nothing about the holder.
+            if timeout_s >= self._settings.unanswered_s:
+                self._record_failure(daemon, str(error))
+            raise HolderLostError(str(error)) from error
+        self._health.record_answer(daemon.vm)
+        return answer
+
+    def avoid(self, daemon: ServingDaemon, reason: str) -> None:
+        """Avoid a holder that refuses to run statements."""
+        self._record_failure(daemon, reason)
+
+    def _is_usable(self, daemon: ServingDaemon) -> bool:
+        if self._health.is_avoided(daemon.vm):
+            return False
+        unanswered_s = self._clients.unanswered_s(daemon)
+        return unanswered_s < self._settings.unanswered_s
+
+    def _record_failure(self, daemon: ServingDaemon, reason: str) -> None:
+        if self._health.record_failure(daemon.vm):
+            log_event('holder_avoided', vm=daemon.vm, reason=reason)
+
+    def _update(self) -> None:
+        view = self._views.view
+        if view is self._view:
+            return
+        self._view = view
+        self._directory.update(view)
+        self._health.forget_others(
+            frozenset(daemon.vm for daemon in self._directory.daemons)
+        )
--- /dev/null
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -0,0 +1,521 @@
+"""Runs the statements that other daemons forward to this one."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+from returns.result import Failure
+from returns.result import Success
+
+from siskinsail_backend import ConnectionFailedError
+from siskinsail_backend import DatabaseError
+from siskinsail_backend import DatabaseRefusalError
+from siskinsail_backend import PoolClosedError
+from siskinsail_catalogue import ViewSource
+from siskinsail_types import Clock
+from siskinsail_types import Consistency
+from siskinsail_types import ErrorCode
+from siskinsail_types import LeaseState
+from siskinsail_types import RequestError
+from siskinsail_types import VmId
+
+from ._connection import ExchangeResult
+from ._connection import NotRunError
+from ._connection import SessionVariables
+from ._failures import PositionUnknownError
+from ._failures import UnansweredError
+from ._forwarding_messages import AnswerRow
+from ._forwarding_messages import decode_call
+from ._forwarding_messages import encode_answer
+from ._forwarding_messages import ForwardedAction
+from ._forwarding_messages import ForwardedAnswer
+from ._forwarding_messages import ForwardedCall
+from ._forwarding_messages import ForwardedOutcome
+from ._forwarding_messages import NotRunReason
+from ._held_transactions import end_transaction
+from ._held_transactions import HeldTransaction
+from ._held_transactions import HeldTransactions
+from ._metrics import StatementMetrics
+from ._operation import DatabaseTarget
+from ._operation import OpenTransaction
+from ._operation import Operation
+from ._operation import OperationPolicy
+from ._outcome import Reply
+from ._outcome import StatementError
+from ._ports import StatementConnection
+from ._positions import MinPosition
+from ._primaries import PrimaryFinder
+from ._routed_pool import RoutedPool
+from ._routed_pool import RoutedPools
+from ._sampler import PositionSampler
+from ._statement import Begin
+from ._statement import Execute
+from ._statement import PreparedQuery
+from ._statement import Query
+from ._statement_sender import AttemptError
+from ._statement_sender import StatementSender
+
+# Name of the only prepared statement of a forwarded call.
+_PREPARED_NAME = 'p'
+# A position younger than this is answered without a query, so that the
+# holders of the replicas together cause few queries.
+_FRESH_POSITION_S = 0.25
+_ROLLBACK_TIMEOUT_S = 1.0
+# The daemon of the caller ends an idle transaction this much earlier.
+_TRANSACTION_IDLE_MARGIN_S = 1.0
+
+_Act = Callable[[VmId, ForwardedCall], Awaitable[ForwardedAnswer]]
+
+
+class HolderService:
+    """Runs forwarded statements on the connections of this daemon.
+
+    The daemon of the caller has checked the key and the rate. This daemon
+    checks what may have changed on the way: that it still holds the lease if
+    the statement needs the primary, that the database is the primary or a
+    replica that accepts work, and that the replica has what the read needs.
+
+    Parameters
+    ----------
+    views : ViewSource
+        Current view and daemon lease.
+    pools : RoutedPools
+        Connections of this daemon.
+    primaries : PrimaryFinder
+        Finds the current primary.
+    sender : StatementSender
+        Sends statements and keeps the position samples.
+    sampler : PositionSampler
+        Queries positions that reads need.
+    clock : Clock
+        Source of time.
+    metrics : StatementMetrics
+        Counts forwarded statements.
+    """
+
+    def __init__(
+        self,
+        views: ViewSource,
+        pools: RoutedPools,
+        primaries: PrimaryFinder,
+        sender: StatementSender,
+        sampler: PositionSampler,
+        clock: Clock,
+        metrics: StatementMetrics,
+    ) -> None:
+        self._views = views
+        self._pools = pools
+        self._primaries = primaries
+        self._sender = sender
+        self._sampler = sampler
+        self._clock = clock
+        self._metrics = metrics
+        self._transactions = HeldTransactions(clock)
+        self._running = 0
+        self._is_draining = False
+        self._actions: dict[ForwardedAction, _Act] = {
+            ForwardedAction.RUN: self._run_single,
+            ForwardedAction.BEGIN: self._begin,
+            ForwardedAction.RUN_IN_TRANSACTION: self._run_in_transaction,
+            ForwardedAction.COMMIT: self._commit,
+            ForwardedAction.ROLLBACK: self._roll_back,
+            ForwardedAction.POSITION: self._answer_position,
+        }
+
+    @property
+    def has_work(self) -> bool:
+        """Whether a statement is running or a transaction is open."""
+        return self._running > 0 or len(self._transactions) > 0
+
+    def drain(self) -> None:
+        """Refuse new statements; open transactions go on."""
+        self._is_draining = True
+
+    async def run(self) -> None:
+        """End idle transactions until cancelled."""
+        try:
+            await self._transactions.run()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._transactions.close()
+
+    async def handle(self, caller: VmId, payload: bytes) -> bytes:
+        """Answer one call of another daemon.
+
+        Raises
+        ------
+        ProtocolError
+            If the payload is not a call.
+        """
+        call = decode_call(payload)
+        if self._is_draining and not call.transaction:
+            return encode_answer(_not_run(NotRunReason.DRAINING, 'draining'))
+        self._running += 1
+        try:
+            answer = await self._actions[call.action](caller, call)
+        finally:
+            self._running -= 1
+        self._metrics.forwarded.labels(
+            call.action.value, answer.outcome.value
+        ).inc()
+        return encode_answer(answer)
+
+    async def _run_single(
+        self, caller: VmId, call: ForwardedCall
+    ) -> ForwardedAnswer:
+        variables, statement = _statement(call)
+        operation = self._make_operation(call, variables)
+
+        async def send(
+            connection: StatementConnection,
+            min_position: MinPosition,
+            timeout_s: float,
+        ) -> ExchangeResult:
+            return await connection.query(
+                variables, statement, call.request_id, min_position, timeout_s
+            )
+
+        target = self._target(call, operation)
+        if target is None:
+            return _not_served()
+        attempt = await self._sender.send_to(
+            operation, target, send, operation.deadline_s
+        )
+        if isinstance(attempt, Success):
+            return _answered(attempt.unwrap())
+        return self._failed(operation, target, attempt.failure())
+
+    async def _begin(
+        self, caller: VmId, call: ForwardedCall
+    ) -> ForwardedAnswer:
+        variables = _variables(call)
+        operation = self._make_operation(call, variables)
+        kept: list[StatementConnection] = []
+
+        async def send(
+            connection: StatementConnection,
+            min_position: MinPosition,
+            timeout_s: float,
+        ) -> ExchangeResult:
+            result = await connection.begin(
+                variables, Begin(call.is_read_only), min_position, timeout_s
+            )
+            if isinstance(result, Success) and result.unwrap().error is None:
+                kept.append(connection)
+            return result
+
+        target = self._target(call, operation)
+        if target is None:
+            return _not_served()
+        attempt = await self._sender.send_to(
+            operation, target, send, operation.deadline_s, kept
+        )
+        if not isinstance(attempt, Success):
+            return self._failed(operation, target, attempt.failure())
+        held = HeldTransaction(
+            caller,
+            call.service,
+            OpenTransaction(kept[0], target.pool, target.is_primary),
+            not call.is_read_only,
+            self._transaction_idle_s(call),
+            self._clock.now_s(),
+            call.request_id,
+        )
+        number = self._transactions.add(held)
+        return _answered(attempt.unwrap(), number)
+
+    async def _run_in_transaction(
+        self, caller: VmId, call: ForwardedCall
+    ) -> ForwardedAnswer:
+        held = self._transactions.find(call.transaction, caller)
+        if held is None or held.is_running:
+            return _transaction_unknown()
+        variables, statement = _statement(call)
+        connection = held.transaction.connection
+        result = await self._exchange(
+            held,
+            call,
+            lambda: connection.query(
+                variables, statement, call.request_id, None, call.timeout_s
+            ),
+        )
+        if not connection.is_in_transaction or isinstance(result, Failure):
+            await self._end(call.transaction, held)
+        return _exchanged(result)
+
+    async def _commit(
+        self, caller: VmId, call: ForwardedCall
+    ) -> ForwardedAnswer:
+        held = self._transactions.find(call.transaction, caller)
+        if held is None or held.is_running:
+            return _transaction_unknown()
+        connection = held.transaction.connection
+        result = await self._exchange(
+            held,
+            call,
+            lambda: connection.commit(
+                _variables(call), call.request_id, call.timeout_s
+            ),
+        )
+        await self._end(call.transaction, held)
+        return _exchanged(result)
+
+    async def _roll_back(
+        self, caller: VmId, call: ForwardedCall
+    ) -> ForwardedAnswer:
+        held = self._transactions.find(call.transaction, caller)
+        if held is None:
+            return _transaction_unknown()
+        self._transactions.remove(call.transaction)
+        if held.is_running:
+            # The statement that is running ends with its connection.
+            await held.transaction.connection.aclose()
+        else:
+            await held.transaction.connection.rollback(_ROLLBACK_TIMEOUT_S)
+            held.transaction.pool.release(held.transaction.connection)
+        return ForwardedAnswer(ForwardedOutcome.ANSWERED)
+
+    async def _answer_position(
+        self, caller: VmId, call: ForwardedCall
+    ) -> ForwardedAnswer:
+        """Answer the newest position, after a query if it is too old."""
+        primary = self._primaries.find(call.service)
+        if primary is None or primary.database != call.database:
+            return _not_served()
+        samples = self._sender.samples(call.service)
+        age_s = self._clock.now_s() - samples.newest_sent_s
+        if age_s > _FRESH_POSITION_S:
+            pool = self._pools.local_pool(call.database)
+            if pool is not None:
+                await self._sampler.query(call.service, call.account, pool)
+            age_s = self._clock.now_s() - samples.newest_sent_s
+        position = samples.newest
+        if position is None or age_s > call.timeout_s:
+            return _not_run(
+                NotRunReason.POSITION_UNKNOWN, 'no recent position is known'
+            )
+        return _answered(Reply(position=position, position_age_s=age_s))
+
+    async def _exchange(
+        self,
+        held: HeldTransaction,
+        call: ForwardedCall,
+        exchange: Callable[[], Awaitable[ExchangeResult]],
+    ) -> ExchangeResult:
+        """Run a statement of a transaction and record the position."""
+        held.is_running = True
+        held.request_id = call.request_id
+        sent_s = self._clock.now_s()
+        try:
+            result = await exchange()
+        finally:
+            held.is_running = False
+            held.last_used_s = self._clock.now_s()
+        if (
+            isinstance(result, Success)
+            and result.unwrap().error is None
+            and held.is_read_write
+            and held.transaction.is_primary
+        ):
+            self._sender.record_position(
+                held.service, result.unwrap().position, sent_s
+            )
+        return result
+
+    async def _end(self, number: int, held: HeldTransaction) -> None:
+        self._transactions.remove(number)
+        connection = held.transaction.connection
+        if connection.is_in_transaction:
+            await end_transaction(held.transaction)
+        else:
+            held.transaction.pool.release(connection)
+
+    def _make_operation(
+        self, call: ForwardedCall, variables: SessionVariables
+    ) -> Operation:
+        now_s = self._clock.now_s()
+        session_position = call.session_position
+        consistency = Consistency.LATEST
+        if not call.needs_primary:
+            consistency = (
+                Consistency.BOUNDED
+                if session_position is None
+                else Consistency.SESSION
+            )
+        policy = OperationPolicy(
+            call.service,
+            call.account,
+            call.weight,
+            consistency,
+            None if call.needs_primary else call.max_age_s,
+            call.objective_s + call.elapsed_s,
+            call.priority,
+        )
+        return Operation(
+            call.request_id,
+            policy,
+            variables,
+            # The time on the way is not counted, which only makes the read
+            # wait for a later position.
+            now_s - call.elapsed_s,
+            now_s + call.timeout_s,
+            session_position,
+        )
+
+    def _target(
+        self, call: ForwardedCall, operation: Operation
+    ) -> DatabaseTarget | None:
+        """Return the database if this daemon may send the statement to it."""
+        pool = self._pools.local_pool(call.database)
+        if pool is None or not pool.can_serve:
+            return None
+        bound = operation.read_bound
+        if bound is None:
+            if not self._primaries.is_current(call.service, pool):
+                return None
+            return DatabaseTarget(pool, None, True)
+        if not self._serves_replica(call, pool):
+            return None
+        self._sampler.record_demand(call.service, call.account)
+        return DatabaseTarget(pool, bound, False)
+
+    def _serves_replica(self, call: ForwardedCall, pool: RoutedPool) -> bool:
+        view = self._views.view
+        server = view.databases.get(call.database)
+        return (
+            server is not None
+            and server.group == call.service
+            and view.accepts_new_work(server)
+            and self._views.lease_state is not LeaseState.LAPSED
+        )
+
+    def _transaction_idle_s(self, call: ForwardedCall) -> float:
+        """Return for how long a transaction may stay without a call."""
+        idle_s = max(
+            (
+                route.session_policy.transaction_idle_s
+                for route in self._views.view.routes.values()
+                if route.service == call.service
+                and route.session_policy is not None
+            ),
+            default=0.0,
+        )
+        return idle_s + _TRANSACTION_IDLE_MARGIN_S
+
+    def _failed(
+        self,
+        operation: Operation,
+        target: DatabaseTarget,
+        error: AttemptError,
+    ) -> ForwardedAnswer:
+        self._sender.record_failure(operation, target, error)
+        if isinstance(error, StatementError):
+            return _answered(Reply(error=error))
+        if isinstance(error, UnansweredError):
+            return ForwardedAnswer(
+                ForwardedOutcome.UNANSWERED, message=str(error)
+            )
+        return _not_run_answer(error)
+
+
+def _statement(
+    call: ForwardedCall,
+) -> tuple[SessionVariables, Query | Execute]:
+    """Return the session values and the statement of a call."""
+    variables = _variables(call)
+    if not call.is_prepared:
+        return variables, Query(call.text, call.is_write)
+    variables.prepared[_PREPARED_NAME] = PreparedQuery(
+        call.text, call.is_write
+    )
+    return variables, Execute(_PREPARED_NAME, call.arguments)
+
+
+def _variables(call: ForwardedCall) -> SessionVariables:
+    variables = SessionVariables()
+    variables.values.update((item.name, item.value) for item in call.values)
+    return variables
+
+
+def _answered(reply: Reply, transaction: int = 0) -> ForwardedAnswer:
+    error, position = reply.error, reply.position
+    retry_after_s = None if error is None else error.retry_after_s
+    return ForwardedAnswer(
+        ForwardedOutcome.ANSWERED,
+        tuple(map(AnswerRow, reply.rows)),
+        reply.receipt,
+        '' if error is None else error.code.value,
+        '' if error is None else error.message,
+        -1.0 if retry_after_s is None else retry_after_s,
+        reply.state.value,
+        0 if position is None else position.term,
+        0 if position is None else position.index,
+        reply.position_age_s,
+        transaction,
+    )
+
+
+def _exchanged(result: ExchangeResult) -> ForwardedAnswer:
+    if isinstance(result, Success):
+        return _answered(result.unwrap())
+    failure = result.failure()
+    if isinstance(failure, NotRunError):
+        return _not_run_answer(failure.cause)
+    return ForwardedAnswer(
+        ForwardedOutcome.UNANSWERED,
+        message=failure.message,
+        is_timeout=failure.is_timeout,
+    )
+
+
+def _not_run(reason: NotRunReason, message: str) -> ForwardedAnswer:
+    return ForwardedAnswer(
+        ForwardedOutcome.NOT_RUN, message=message, reason=reason
+    )
+
+
+def _not_served() -> ForwardedAnswer:
+    return _not_run(NotRunReason.NOT_SERVED, 'the database is not served here')
+
+
+def _transaction_unknown() -> ForwardedAnswer:
+    return _not_run(
+        NotRunReason.TRANSACTION_UNKNOWN, 'the transaction is not open here'
+    )
+
+
+def _not_run_answer(
+    error: RequestError | PoolClosedError | DatabaseError,
+) -> ForwardedAnswer:
+    """Return the answer for a statement that was not sent."""
+    if isinstance(error, RequestError):
+        reason = (
+            NotRunReason.DEADLINE_EXCEEDED
+            if error.code is ErrorCode.DEADLINE_EXCEEDED
+            else NotRunReason.OVERLOADED
+        )
+        return ForwardedAnswer(
+            ForwardedOutcome.NOT_RUN,
+            message=error.message,
+            retry_after_s=(
+                -1.0 if error.retry_after_s is None else error.retry_after_s
+            ),
+            reason=reason,
+        )
+    if isinstance(error, PositionUnknownError):
+        return _not_run(NotRunReason.POSITION_UNKNOWN, error.message)
+    if isinstance(error, DatabaseRefusalError):
+        return ForwardedAnswer(
+            ForwardedOutcome.NOT_RUN,
+            error=error.code,
+            message=error.message,
+            reason=NotRunReason.CONNECTION_REFUSED,
+        )
+    if isinstance(error, ConnectionFailedError):
+        return ForwardedAnswer(
+            ForwardedOutcome.NOT_RUN,
+            message=error.message,
+            is_timeout=error.is_timeout,
+            reason=NotRunReason.CONNECTION_FAILED,
+        )
+    return _not_run(NotRunReason.NOT_SERVED, str(error))
--- a/libs/statements/siskinsail_statements/_metrics.py
+++ b/libs/statements/siskinsail_statements/_metrics.py
@@ -59,6 +59,12 @@
             ('consistency', 'served_by'),
             registry=registry,
         )
+        self.forwarded = Counter(
+            'siskinsail_forwarded_statements',
+            'Number of calls of other daemons that this holder answered.',
+            ('action', 'outcome'),
+            registry=registry,
+        )
         self.attempts = Counter(
             'siskinsail_statement_attempts',
             'Number of attempts on databases without a result, by reason.',
--- a/libs/statements/siskinsail_statements/_outcome.py
+++ b/libs/statements/siskinsail_statements/_outcome.py
@@ -93,6 +93,8 @@
         Transaction state of the connection.
     position : Position or None
         Log position that the database had applied.
+    position_age_s : float
+        For how long before the command the position was known, in seconds.
     """
 
     rows: tuple[str, ...] = ()
@@ -100,6 +102,7 @@
     error: StatementError | None = None
     state: TransactionState = TransactionState.IDLE
     position: Position | None = None
+    position_age_s: float = 0.0
 
 
 class SessionReply(NamedTuple):
--- a/libs/statements/siskinsail_statements/_positions.py
+++ b/libs/statements/siskinsail_statements/_positions.py
@@ -1,6 +1,7 @@
 """Samples of the log position of a primary over time."""
 
 from collections import deque
+from typing import NamedTuple
 
 from siskinsail_types import Position
 
@@ -8,6 +9,32 @@
 _MIN_SAMPLE_INTERVAL_S = 0.02
 
 
+class ReadBound(NamedTuple):
+    """What a replica must have applied to serve a read.
+
+    Parameters
+    ----------
+    received_s : float
+        Arrival time of the read on the monotonic clock of the daemon.
+    max_age_s : float
+        Maximum age of the data, in seconds.
+    position : Position or None
+        Last commit of the session, if the read must see it.
+    """
+
+    received_s: float
+    max_age_s: float
+    position: Position | None
+
+
+MinPosition = Position | ReadBound | None
+"""What a replica must have applied before it runs a statement.
+
+A holder that runs the statement determines the position of a ``ReadBound``
+itself.
+"""
+
+
 class PositionSamples:
     """Maps times to log positions that cover all earlier commits.
 
@@ -73,6 +100,23 @@
         while self._samples[0][0] < sent_s - self._retention_s:
             self._samples.popleft()
 
+    def satisfying(self, bound: ReadBound) -> Position | None:
+        """Return the lowest position that satisfies a bound.
+
+        Returns None if the samples do not tell, so that only the primary may
+        serve the read.
+
+        A position of the session in an earlier term is ignored, since every
+        position of the current term covers the surviving commits of earlier
+        terms.
+        """
+        position = self.covering(bound.received_s - bound.max_age_s)
+        if position is None or bound.position is None:
+            return position
+        if bound.position.term == position.term:
+            return max(bound.position, position)
+        return None if bound.position.term > position.term else position
+
     def covering(self, at_s: float) -> Position | None:
         """Return the lowest position that covers all commits before ``at_s``.
 
--- a/libs/statements/siskinsail_statements/_primaries.py
+++ b/libs/statements/siskinsail_statements/_primaries.py
@@ -1,5 +1,7 @@
 """Lookup of the primaries that may receive statements."""
 
+from collections.abc import Callable
+
 import anyio
 from returns.result import Failure
 from returns.result import Result
@@ -15,8 +17,7 @@
 
 from ._outcome import StatementError
 from ._outcome import StatementErrorCode
-from ._replicas import StatementPool
-from ._replicas import StatementPools
+from ._ports import StatementPool
 
 # A change of the lease state does not end a wait for the next view, so the
 # lease is checked at this interval.
@@ -39,17 +40,20 @@
     ----------
     views : ViewSource
         Current view and daemon lease.
-    pools : StatementPools
-        Connection pools of the databases.
+    find_pool : callable
+        Returns the pool of a database, None if there is none.
     clock : Clock
         Source of time.
     """
 
     def __init__(
-        self, views: ViewSource, pools: StatementPools, clock: Clock
+        self,
+        views: ViewSource,
+        find_pool: Callable[[DatabaseId], StatementPool | None],
+        clock: Clock,
     ) -> None:
         self._views = views
-        self._pools = pools
+        self._find_pool = find_pool
         self._clock = clock
         self._leaving_since_s: dict[DatabaseId, float] = {}
 
@@ -66,11 +70,16 @@
             or not self._accepts_work(view, group.primary)
         ):
             return None
-        return self._pools.pool(group.primary)
+        return self._find_pool(group.primary)
 
     def is_current(self, service: ServiceId, pool: StatementPool) -> bool:
         """Tell whether a pool still belongs to the current primary."""
-        return self.find(service) is pool
+        primary = self.find(service)
+        return (
+            primary is not None
+            and primary.database == pool.database
+            and not pool.is_closed
+        )
 
     async def wait_for_primary(
         self, service: ServiceId, deadline_s: float
--- a/libs/statements/siskinsail_statements/_replicas.py
+++ b/libs/statements/siskinsail_statements/_replicas.py
@@ -16,6 +16,7 @@
 from siskinsail_types import ServiceId
 
 from ._connection import SharedConnection
+from ._ports import StatementPool
 
 # Time for which a replica is skipped after it lacked a position, and tried
 # after the others after it was overloaded.
@@ -25,8 +26,8 @@
 _UNREACHABLE_AVOIDANCE_S = 1.0
 _MEAN_SMOOTHING_FACTOR = 0.1
 
-StatementPool = AccountPool[SharedConnection]
-StatementPools = PoolTable[StatementPool]
+LocalPool = AccountPool[SharedConnection]
+LocalPools = PoolTable[LocalPool]
 
 
 @dataclass(slots=True)
@@ -60,8 +61,8 @@
 
     Parameters
     ----------
-    pools : StatementPools
-        Connection pools of the databases.
+    find_pool : callable
+        Returns the pool of a database, None if there is none.
     latency_s : callable
         One-way latency to a data centre, in seconds.
     clock : Clock
@@ -70,27 +71,30 @@
 
     def __init__(
         self,
-        pools: StatementPools,
+        find_pool: Callable[[DatabaseId], StatementPool | None],
         latency_s: Callable[[DataCentreId], float],
         clock: Clock,
     ) -> None:
-        self._pools = pools
+        self._find_pool = find_pool
         self._latency_s = latency_s
         self._clock = clock
         self._states: dict[DatabaseId, _ReplicaState] = {}
 
     def choose(
-        self, view: View, service: ServiceId, min_position: Position
+        self, view: View, service: ServiceId, min_position: Position | None
     ) -> list[StatementPool]:
         """Return the replicas to try, best first.
 
         Replicas that recently lacked the position or an earlier one are left
-        out, since the primary has the position.
+        out, since the primary has the position. Without a position all
+        replicas are returned.
         """
         ranked: list[tuple[tuple[bool, float], StatementPool]] = []
-        for server, pool in serving_replicas(view, service, self._pools.pool):
+        for server, pool in serving_replicas(view, service, self._find_pool):
             state = self._state_of(server.database)
-            if self._is_known_to_lag(state, min_position):
+            if min_position is not None and self._is_known_to_lag(
+                state, min_position
+            ):
                 continue
             ranked.append((self._rank(server, pool, state), pool))
         ranked.sort(key=lambda entry: entry[0])
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -1,8 +1,5 @@
 """Execution of statements: choice of the database, and retries."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
-
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -10,15 +7,13 @@
 from siskinsail_catalogue import ViewSource
 from siskinsail_proxy import RetryBudget
 from siskinsail_types import Clock
-from siskinsail_types import Consistency
 from siskinsail_types import DatabaseId
 from siskinsail_types import EvidenceSink
-from siskinsail_types import Position
 from siskinsail_types import RequestError
 
 from ._admission import busy_error
 from ._connection import ExchangeResult
-from ._connection import SharedConnection
+from ._failures import UnansweredError
 from ._metrics import StatementMetrics
 from ._operation import DatabaseTarget
 from ._operation import OpenTransaction
@@ -26,6 +21,9 @@
 from ._outcome import Reply
 from ._outcome import StatementError
 from ._outcome import StatementErrorCode
+from ._ports import StatementConnection
+from ._positions import MinPosition
+from ._positions import ReadBound
 from ._primaries import PrimaryFinder
 from ._replicas import ReplicaSelector
 from ._settings import StatementSettings
@@ -33,8 +31,8 @@
 from ._statement import Execute
 from ._statement import Query
 from ._statement_sender import AttemptError
+from ._statement_sender import SendFunction
 from ._statement_sender import StatementSender
-from ._statement_sender import UnansweredError
 
 # Rounds over all databases while they refuse statements due to overload.
 _MAX_BUSY_ROUNDS = 4
@@ -95,20 +93,7 @@
         self, operation: Operation, statement: Query | Execute
     ) -> StatementResult:
         """Run a read on any database that is recent enough for it."""
-
-        async def send(
-            connection: SharedConnection,
-            min_position: Position | None,
-            timeout_s: float,
-        ) -> ExchangeResult:
-            return await connection.query(
-                operation.variables,
-                statement,
-                operation.request_id,
-                min_position,
-                timeout_s,
-            )
-
+        send = _query_function(operation, statement)
         self._retry_budget.count_request()
         result = await self._run_on_any(operation, send)
         return result.map(lambda pair: pair[1])
@@ -117,11 +102,11 @@
         self, operation: Operation, begin: Begin
     ) -> Result[OpenTransaction, StatementError]:
         """Begin a transaction; a read-only one may run on a replica."""
-        kept_connections: list[SharedConnection] = []
+        kept_connections: list[StatementConnection] = []
 
         async def send(
-            connection: SharedConnection,
-            min_position: Position | None,
+            connection: StatementConnection,
+            min_position: MinPosition,
             timeout_s: float,
         ) -> ExchangeResult:
             reply = await connection.begin(
@@ -148,18 +133,7 @@
         self, operation: Operation, statement: Query | Execute
     ) -> StatementResult:
         """Run a write on the primary, at most once."""
-
-        async def send(
-            connection: SharedConnection, timeout_s: float
-        ) -> ExchangeResult:
-            return await connection.query(
-                operation.variables,
-                statement,
-                operation.request_id,
-                None,
-                timeout_s,
-            )
-
+        send = _query_function(operation, statement)
         rounds = 0
         self._retry_budget.count_request()
         while True:
@@ -220,11 +194,8 @@
     async def _run_on_any(
         self,
         operation: Operation,
-        send: Callable[
-            [SharedConnection, Position | None, float],
-            Awaitable[ExchangeResult],
-        ],
-        kept_connections: list[SharedConnection] | None = None,
+        send: SendFunction,
+        kept_connections: list[StatementConnection] | None = None,
         *,
         needs_primary: bool = False,
     ) -> Result[tuple[DatabaseTarget, Reply], StatementError]:
@@ -239,18 +210,10 @@
                     and not target.is_primary
                 ):
                     continue
-
-                async def send_on(
-                    connection: SharedConnection,
-                    timeout_s: float,
-                    min_position: Position | None = target.min_position,
-                ) -> ExchangeResult:
-                    return await send(connection, min_position, timeout_s)
-
                 attempt = await self._sender.send_to(
                     operation,
                     target,
-                    send_on,
+                    send,
                     self._attempt_deadline_s(operation, target),
                     kept_connections,
                 )
@@ -308,46 +271,34 @@
     ) -> list[DatabaseTarget]:
         """Return the databases to try, best first."""
         targets: list[DatabaseTarget] = []
-        if not needs_primary:
-            min_position = self._required_position(operation)
-            if min_position is not None:
-                targets = [
-                    DatabaseTarget(pool, min_position, False)
-                    for pool in self._replicas.choose(
-                        self._views.view, operation.service, min_position
-                    )
-                ]
+        bound = None if needs_primary else operation.read_bound
+        if bound is not None:
+            targets = self._replica_targets(operation, bound)
         primary = self._primaries.find(operation.service)
         if primary is not None and primary.can_serve:
             targets.append(DatabaseTarget(primary, None, True))
         return targets
 
-    def _required_position(self, operation: Operation) -> Position | None:
-        """Return the position that a replica needs for a read.
-
-        Returns None if only the primary may serve the read.
+    def _replica_targets(
+        self, operation: Operation, bound: ReadBound
+    ) -> list[DatabaseTarget]:
+        """Return the replicas that a read may be sent to, best first.
 
-        A position of the session in an earlier term is ignored, since every
-        position of the current term covers the surviving commits of earlier
-        terms.
+        This daemon must know a position for those that it sends to itself.
         """
-        max_age_s = operation.authorization.route.max_age_s
-        if operation.consistency is Consistency.LATEST or max_age_s is None:
-            return None
         samples = self._sender.samples(operation.service)
-        min_position = samples.covering(operation.received_s - max_age_s)
-        if min_position is None:
-            return None
-        session_position = operation.position
-        if (
-            operation.consistency is Consistency.SESSION
-            and session_position is not None
+        min_position = samples.satisfying(bound)
+        targets = []
+        operation.needs_samples = True
+        for pool in self._replicas.choose(
+            self._views.view, operation.service, min_position
         ):
-            if session_position.term == min_position.term:
-                return max(session_position, min_position)
-            if session_position.term > min_position.term:
-                return None
-        return min_position
+            is_forwarded = pool.forwards(operation.account)
+            if is_forwarded:
+                operation.needs_samples = False
+            if is_forwarded or min_position is not None:
+                targets.append(DatabaseTarget(pool, bound, False))
+        return targets
 
     def _attempt_deadline_s(
         self, operation: Operation, target: DatabaseTarget
@@ -379,3 +330,24 @@
         'no database is available for the statement',
         _BUSY_RETRY_AFTER_S,
     )
+
+
+def _query_function(
+    operation: Operation, statement: Query | Execute
+) -> SendFunction:
+    """Return a function that sends a statement outside a transaction."""
+
+    async def send(
+        connection: StatementConnection,
+        min_position: MinPosition,
+        timeout_s: float,
+    ) -> ExchangeResult:
+        return await connection.query(
+            operation.variables,
+            statement,
+            operation.request_id,
+            min_position,
+            timeout_s,
+        )
+
+    return send
--- a/libs/statements/siskinsail_statements/_sampler.py
+++ b/libs/statements/siskinsail_statements/_sampler.py
@@ -9,10 +9,9 @@
 from siskinsail_backend import Waiter
 from siskinsail_types import AccountId
 from siskinsail_types import Clock
-from siskinsail_types import Consistency
 from siskinsail_types import ServiceId
 
-from ._operation import Operation
+from ._ports import StatementPool
 from ._primaries import PrimaryFinder
 from ._runner import StatementRunner
 from ._settings import StatementSettings
@@ -66,13 +65,9 @@
         self._demand: dict[ServiceId, _Demand] = {}
         self._querying: set[ServiceId] = set()
 
-    def record_read(self, operation: Operation) -> None:
-        """Record a read that a replica may serve."""
-        if operation.consistency is Consistency.LATEST:
-            return
-        self._demand[operation.service] = _Demand(
-            self._clock.now_s(), operation.authorization.caller.account
-        )
+    def record_demand(self, service: ServiceId, account: AccountId) -> None:
+        """Record a read for which this daemon determines the position."""
+        self._demand[service] = _Demand(self._clock.now_s(), account)
 
     async def run(self) -> None:
         """Query positions where samples are needed, until cancelled."""
@@ -83,10 +78,11 @@
                     if now_s - demand.at_s > self._settings.sample_demand_s:
                         del self._demand[service]
                     elif self._is_due(service, now_s):
-                        self._querying.add(service)
-                        tasks.start_soon(
-                            self._query_position, service, demand.account
-                        )
+                        pool = self._primaries.find(service)
+                        if pool is not None:
+                            tasks.start_soon(
+                                self.query, service, demand.account, pool
+                            )
                 await anyio.sleep(_CHECK_INTERVAL_S)
 
     def _is_due(self, service: ServiceId, now_s: float) -> bool:
@@ -95,13 +91,20 @@
             age_s >= self._settings.sample_age_s
         )
 
-    async def _query_position(
-        self, service: ServiceId, account: AccountId
+    async def query(
+        self, service: ServiceId, account: AccountId, pool: StatementPool
     ) -> None:
+        """Query the position of the primary on a connection of a pool.
+
+        Parameters
+        ----------
+        account : AccountId
+            Account whose connection is used.
+        pool : StatementPool
+            Pool of the primary.
+        """
+        self._querying.add(service)
         try:
-            pool = self._primaries.find(service)
-            if pool is None:
-                return
             deadline_s = self._clock.now_s() + _QUERY_TIMEOUT_S
             acquired = await pool.acquire(
                 Waiter(account, _QUEUE_WEIGHT, deadline_s)
@@ -119,8 +122,9 @@
             finally:
                 pool.release(connection)
             if isinstance(result, Success):
+                reply = result.unwrap()
                 self._runner.sender.record_position(
-                    service, result.unwrap().position, sent_s
+                    service, reply.position, sent_s - reply.position_age_s
                 )
         finally:
             self._querying.discard(service)
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -29,12 +29,15 @@
 from ._connection import SharedConnection
 from ._context import SessionContext
 from ._driver import DatabaseDriver
+from ._forwarder import Forwarder
+from ._holder_service import HolderService
 from ._metrics import StatementMetrics
 from ._outcome import StatementError
 from ._primaries import PrimaryFinder
+from ._replicas import LocalPool
+from ._replicas import LocalPools
 from ._replicas import ReplicaSelector
-from ._replicas import StatementPool
-from ._replicas import StatementPools
+from ._routed_pool import RoutedPools
 from ._runner import StatementRunner
 from ._sampler import PositionSampler
 from ._session import CallerSession
@@ -47,11 +50,11 @@
     allowance: ConnectionAllowance,
     evidence: EvidenceSink,
     clock: Clock,
-) -> StatementPools:
+) -> LocalPools:
     """Return pools of connections that a driver opens per client account."""
     connect = _connect_function(driver)
 
-    def make_pool(server: BackendServer, limits: QueueLimits) -> StatementPool:
+    def make_pool(server: BackendServer, limits: QueueLimits) -> LocalPool:
         return AccountPool(
             server, settings, connect, allowance, evidence, limits, clock
         )
@@ -87,7 +90,7 @@
         Current view and daemon lease.
     limiter : RateLimiter
         Rate limiter of the client accounts.
-    pools : StatementPools
+    pools : LocalPools
         Connection pools from ``make_statement_pools``.
     evidence : EvidenceSink
         Receives evidence of answers and of lost connections.
@@ -95,6 +98,9 @@
         Source of time.
     registry : CollectorRegistry
         Registry of the Prometheus metrics.
+    forwarder : Forwarder or None
+        Calls the daemons that hold connections; None if this daemon runs all
+        statements itself.
 
     Examples
     --------
@@ -108,29 +114,51 @@
         settings: StatementSettings,
         views: ViewSource,
         limiter: RateLimiter,
-        pools: StatementPools,
+        pools: LocalPools,
         evidence: EvidenceSink,
         clock: Clock,
         registry: CollectorRegistry,
+        forwarder: Forwarder | None = None,
     ) -> None:
         metrics = StatementMetrics(registry)
         self._metrics = metrics
-        primaries = PrimaryFinder(views, pools, clock)
-        replicas = ReplicaSelector(pools, settings.latency_s, clock)
+        self._pools = RoutedPools(pools, forwarder)
+        primaries = PrimaryFinder(views, self._pools.pool, clock)
+        replicas = ReplicaSelector(self._pools.pool, settings.latency_s, clock)
         runner = StatementRunner(
             settings, views, primaries, replicas, evidence, clock, metrics
         )
         self._sampler = PositionSampler(settings, runner, primaries, clock)
+        self._holder = HolderService(
+            views,
+            self._pools,
+            primaries,
+            runner.sender,
+            self._sampler,
+            clock,
+            metrics,
+        )
         self._admission = SessionAdmission(settings, views, limiter, clock)
         self._context = SessionContext(
             settings, self._admission, runner, self._sampler, clock, metrics
         )
 
+    @property
+    def pools(self) -> RoutedPools:
+        """Connections of this daemon and their demand."""
+        return self._pools
+
+    @property
+    def holder(self) -> HolderService:
+        """Runs the statements that other daemons forward."""
+        return self._holder
+
     async def run(self) -> None:
         """Sample positions and roll back transactions until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._sampler.run)
             tasks.start_soon(self._context.run)
+            tasks.start_soon(self._holder.run)
 
     async def open(
         self, database: RouteId, key: KeyDigest
--- a/libs/statements/siskinsail_statements/_session.py
+++ b/libs/statements/siskinsail_statements/_session.py
@@ -13,6 +13,7 @@
 from siskinsail_types import ServiceId
 
 from ._admission import Authorization
+from ._connection import NotRunError
 from ._connection import SessionVariables
 from ._context import SessionContext
 from ._operation import OpenTransaction
@@ -249,7 +250,8 @@
         runner = self._context.runner
         if is_write:
             result = await runner.write(operation, statement)
-            self._record_commit(operation, result)
+            if isinstance(result, Success):
+                self._record_position(operation.service, result.unwrap())
         else:
             result = await runner.read(operation, statement)
             self._context.record_read(operation)
@@ -303,7 +305,9 @@
             self._session_variables, request_id, self._remaining_s(received_s)
         )
         if isinstance(exchange, Failure):
-            if not self._has_written:
+            if not self._has_written or isinstance(
+                exchange.failure(), NotRunError
+            ):
                 return Failure(_aborted_error('the database did not answer'))
             return Failure(
                 StatementError(
@@ -316,7 +320,8 @@
         if reply.error is not None:
             return Failure(reply.error)
         if self._authorization is not None and self._has_written:
-            self._record_position(self._authorization, reply)
+            service = self._authorization.route.service
+            self._record_position(service, reply)
         return Success(reply)
 
     async def _ensure_open(
@@ -371,7 +376,7 @@
     ) -> Operation:
         return Operation(
             request_id,
-            authorization,
+            authorization.operation_policy,
             self._session_variables,
             received_s,
             received_s + authorization.policy.statement_timeout_s,
@@ -396,17 +401,9 @@
         query = self._session_variables.prepared.get(statement.name)
         return None if query is None else query.is_write
 
-    def _record_commit(
-        self, operation: Operation, result: Result[Reply, StatementError]
-    ) -> None:
-        if isinstance(result, Success):
-            self._record_position(operation.authorization, result.unwrap())
-
-    def _record_position(
-        self, authorization: Authorization, reply: Reply
-    ) -> None:
+    def _record_position(self, service: ServiceId, reply: Reply) -> None:
         if reply.position is not None:
-            self._positions[authorization.route.service] = reply.position
+            self._positions[service] = reply.position
 
     def _record_answer(
         self, transaction: OpenTransaction, reply: Reply, sent_s: float
--- a/libs/statements/siskinsail_statements/_statement_sender.py
+++ b/libs/statements/siskinsail_statements/_statement_sender.py
@@ -20,20 +20,26 @@
 from siskinsail_types import ServiceId
 
 from ._connection import ExchangeResult
-from ._connection import SharedConnection
+from ._connection import NotRunError
+from ._failures import PositionUnknownError
+from ._failures import UnansweredError
 from ._metrics import StatementMetrics
 from ._operation import DatabaseTarget
 from ._operation import Operation
 from ._outcome import Reply
 from ._outcome import StatementError
 from ._outcome import StatementErrorCode
+from ._ports import StatementConnection
+from ._positions import MinPosition
 from ._positions import PositionSamples
 from ._primaries import PrimaryFinder
 from ._replicas import ReplicaSelector
 from ._settings import StatementSettings
 
 AttemptError = RequestError | PoolClosedError | DatabaseError | StatementError
-SendFunction = Callable[[SharedConnection, float], Awaitable[ExchangeResult]]
+SendFunction = Callable[
+    [StatementConnection, MinPosition, float], Awaitable[ExchangeResult]
+]
 
 
 class StatementSender:
@@ -89,7 +95,7 @@
         target: DatabaseTarget,
         send: SendFunction,
         deadline_s: float,
-        kept_connections: list[SharedConnection] | None = None,
+        kept_connections: list[StatementConnection] | None = None,
     ) -> Result[Reply, AttemptError]:
         """Send a statement to one database.
 
@@ -102,11 +108,10 @@
             is not returned to the pool.
         """
         pool = target.pool
-        caller = operation.authorization.caller
-        policy = operation.authorization.policy
+        policy = operation.policy
         waiter = Waiter(
-            caller.account,
-            caller.weight,
+            policy.account,
+            policy.weight,
             deadline_s,
             operation.received_s + policy.latency_objective_s,
             policy.priority,
@@ -124,40 +129,108 @@
             sent_s = self._clock.now_s()
             if sent_s >= deadline_s:
                 return Failure(PoolClosedError('the deadline has passed'))
-            exchange = await send(connection, deadline_s - sent_s)
-            return self._handle_exchange(operation, target, exchange, sent_s)
+            min_position = self._min_position(operation, target, connection)
+            if target.bound is not None and min_position is None:
+                return Failure(PositionUnknownError())
+            exchange = await send(
+                connection, min_position, deadline_s - sent_s
+            )
+            if connection.is_forwarded:
+                return self._handle_forwarded(
+                    operation, target, exchange, sent_s
+                )
+            return self._handle_exchange(
+                operation, target, exchange, sent_s, min_position
+            )
         finally:
             if not kept_connections:
                 pool.release(connection)
 
+    def _min_position(
+        self,
+        operation: Operation,
+        target: DatabaseTarget,
+        connection: StatementConnection,
+    ) -> MinPosition:
+        """Return what the database must have applied.
+
+        A holder has more samples than the daemons that forward to it, so that
+        it determines the position itself.
+        """
+        if target.bound is None or connection.is_forwarded:
+            return target.bound
+        return self.samples(operation.service).satisfying(target.bound)
+
     def _handle_exchange(
         self,
         operation: Operation,
         target: DatabaseTarget,
         exchange: ExchangeResult,
         sent_s: float,
+        min_position: MinPosition,
     ) -> Result[Reply, AttemptError]:
         database = target.pool.database
         if isinstance(exchange, Failure):
             failure = exchange.failure()
+            if isinstance(failure, NotRunError):
+                return Failure(failure.cause)
             if not failure.is_timeout:
                 self._evidence.database_unreachable(database)
             return Failure(UnansweredError(failure.message))
         self._evidence.database_answered(database)
         reply = exchange.unwrap()
-        if target.is_primary:
-            self.record_position(operation.service, reply.position, sent_s)
-        else:
-            spent_s = self._clock.now_s() - sent_s
-            self._replicas.record_answer(database, reply.position, spent_s)
+        self._record_reply(operation, target, reply, sent_s)
         if reply.error is not None:
             if reply.error.code is StatementErrorCode.BUSY:
                 target.pool.record_overload()
+            if reply.error.code is StatementErrorCode.LAGGING and isinstance(
+                min_position, Position
+            ):
+                self._replicas.record_lag(database, min_position)
             return Failure(reply.error)
         target.pool.record_answer()
-        operation.served_by = 'primary' if target.is_primary else 'replica'
         return Success(reply)
 
+    def _handle_forwarded(
+        self,
+        operation: Operation,
+        target: DatabaseTarget,
+        exchange: ExchangeResult,
+        sent_s: float,
+    ) -> Result[Reply, AttemptError]:
+        """Evaluate the answer of a holder.
+
+        The holder itself reports the evidence of the database, and paces the
+        statements that it sends there.
+        """
+        if isinstance(exchange, Failure):
+            failure = exchange.failure()
+            if isinstance(failure, NotRunError):
+                return Failure(failure.cause)
+            return Failure(UnansweredError(failure.message))
+        reply = exchange.unwrap()
+        self._record_reply(operation, target, reply, sent_s)
+        if reply.error is not None:
+            return Failure(reply.error)
+        return Success(reply)
+
+    def _record_reply(
+        self,
+        operation: Operation,
+        target: DatabaseTarget,
+        reply: Reply,
+        sent_s: float,
+    ) -> None:
+        if target.is_primary:
+            self.record_position(operation.service, reply.position, sent_s)
+        else:
+            spent_s = self._clock.now_s() - sent_s
+            self._replicas.record_answer(
+                target.pool.database, reply.position, spent_s
+            )
+        if reply.error is None:
+            operation.served_by = 'primary' if target.is_primary else 'replica'
+
     def record_position(
         self, service: ServiceId, position: Position | None, sent_s: float
     ) -> None:
@@ -182,9 +255,9 @@
         reason = _failure_reason(error)
         database = target.pool.database
         self._metrics.attempts.labels(reason).inc()
-        if reason == StatementErrorCode.LAGGING.value:
-            if target.min_position is not None:
-                self._replicas.record_lag(database, target.min_position)
+        if reason == StatementErrorCode.LAGGING.value or isinstance(
+            error, PositionUnknownError
+        ):
             return
         if isinstance(error, ConnectionFailedError | UnansweredError):
             self._replicas.record_unreachable(database)
@@ -195,7 +268,7 @@
         log_event(
             'siskinsail:attempt_failed',
             request=operation.request_id,
-            account=operation.authorization.caller.account,
+            account=operation.account,
             group=operation.service,
             database=database,
             is_primary=target.is_primary,
@@ -209,13 +282,6 @@
         return operation.deadline_s - self._clock.now_s()
 
 
-class UnansweredError(DatabaseError):
-    """A statement was sent and not answered, so it may have run."""
-
-    def __init__(self, message: str) -> None:
-        super().__init__('unanswered', message)
-
-
 def _failure_reason(error: AttemptError) -> str:
     if isinstance(error, RequestError):
         return error.code.value
