End read-write transactions when their primary is no longer the current one

Cause: statements and commits of an open transaction went to its pinned connection without a check. Where a replaced primary goes on until it learns of the new one (further/), a commit after the promotion would have been acknowledged by the old primary.

Change: each statement of a read-write transaction and its commit need the lease and the current primary, at the daemon of the caller and at a holder; otherwise the transaction is aborted, which is true as its commit was not sent. Read-only transactions go on.

--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -227,8 +227,8 @@
     async def _run_in_transaction(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
-        held = self._transactions.find(call.transaction, caller)
-        if held is None or held.is_running:
+        held = await self._find_usable(caller, call)
+        if held is None:
             return _transaction_unknown()
         variables, statement = _statement(call)
         connection = held.transaction.connection
@@ -246,8 +246,8 @@
     async def _commit(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
-        held = self._transactions.find(call.transaction, caller)
-        if held is None or held.is_running:
+        held = await self._find_usable(caller, call)
+        if held is None:
             return _transaction_unknown()
         connection = held.transaction.connection
         result = await self._exchange(
@@ -296,6 +296,20 @@
             )
         return _answered(Reply(position=position, position_age_s=age_s))
 
+    async def _find_usable(
+        self, caller: VmId, call: ForwardedCall
+    ) -> HeldTransaction | None:
+        """Return a transaction that may go on; end it if it may not."""
+        held = self._transactions.find(call.transaction, caller)
+        if held is None or held.is_running:
+            return None
+        if not held.is_read_write or self._primaries.may_continue(
+            held.service, held.transaction
+        ):
+            return held
+        await self._end(call.transaction, held)
+        return None
+
     async def _exchange(
         self,
         held: HeldTransaction,
--- a/libs/statements/siskinsail_statements/_primaries.py
+++ b/libs/statements/siskinsail_statements/_primaries.py
@@ -15,6 +15,7 @@
 from siskinsail_types import LeaseState
 from siskinsail_types import ServiceId
 
+from ._operation import OpenTransaction
 from ._outcome import StatementError
 from ._outcome import StatementErrorCode
 from ._ports import StatementPool
@@ -81,6 +82,16 @@
             and not pool.is_closed
         )
 
+    def may_continue(
+        self, service: ServiceId, transaction: OpenTransaction
+    ) -> bool:
+        """Tell whether a read-write transaction may go on.
+
+        A primary that was replaced may not know it yet and would still
+        commit.
+        """
+        return self.is_current(service, transaction.pool)
+
     async def wait_for_primary(
         self, service: ServiceId, deadline_s: float
     ) -> Result[StatementPool, StatementError]:
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -10,6 +10,7 @@
 from siskinsail_types import DatabaseId
 from siskinsail_types import EvidenceSink
 from siskinsail_types import RequestError
+from siskinsail_types import ServiceId
 
 from ._admission import busy_error
 from ._connection import ExchangeResult
@@ -129,6 +130,12 @@
             )
         )
 
+    def may_continue(
+        self, service: ServiceId, transaction: OpenTransaction
+    ) -> bool:
+        """Tell whether a read-write transaction may go on."""
+        return self._primaries.may_continue(service, transaction)
+
     async def write(
         self, operation: Operation, statement: Query | Execute
     ) -> StatementResult:
--- a/libs/statements/tests/test_holders.py
+++ b/libs/statements/tests/test_holders.py
@@ -234,6 +234,24 @@
         assert fleet.executed('w') == []
 
 
+@pytest.mark.parametrize('last', [WRITE, Commit()])
+async def test_a_holder_ends_a_transaction_at_a_replaced_primary(last):
+    """Guards against a commit at an old primary that still takes writes.
+
+    Only the view of the holder knows of the change yet.
+    """
+    async with new_fleet() as fleet:
+        holder = fleet.holders()[0]
+        daemon = fleet.other_than(holder)
+        session = await daemon.open()
+        await run(session, 'b', Begin())
+        assert await run(session, 'w', WRITE) is None
+        fleet.change_views(holder, **fleet.view_parts(GroupPhase.CHANGING))
+        assert await run(session, 'last', last) is Code.ABORTED
+        assert not fleet.daemons[holder].service.holder.has_work
+        assert fleet.group.commits == []
+
+
 async def test_a_holder_with_another_primary_runs_no_write_at_the_old_one():
     async with new_fleet() as fleet:
         holder = fleet.holders()[0]
