--- a/libs/statements/siskinsail_statements/_session.py
+++ b/libs/statements/siskinsail_statements/_session.py
@@ -37,6 +37,9 @@
 MAX_SESSION_VALUES = 200
 MAX_PREPARED_STATEMENTS = 200
 _RETRY_AFTER_S = 0.25
+# Share of the time limit of a statement that it may wait for a rate limit
+# token. Later, too little time would be left to run it.
+_TOKEN_WAIT_SHARE = 0.7
 # The time limit of the route is not known while there is no lease.
 _LEASE_WAIT_S = 1.0
 
@@ -380,7 +383,8 @@
         self._authorization = authorization
         refusal = await self._context.admission.acquire_token(
             authorization,
-            received_s + authorization.policy.statement_timeout_s,
+            received_s
+            + authorization.policy.statement_timeout_s * _TOKEN_WAIT_SHARE,
         )
         if refusal is not None:
             return Failure(refusal)
--- a/libs/statements/tests/statement_group.py
+++ b/libs/statements/tests/statement_group.py
@@ -254,8 +254,10 @@
     def __init__(self):
         self.limited_accounts = set()
         self.acquired_tokens = 0
+        self.last_deadline_s = 0.0
 
     async def acquire(self, account, deadline_s):
+        self.last_deadline_s = deadline_s
         if account in self.limited_accounts:
             return Failure(
                 RequestError(
--- a/libs/statements/tests/test_session.py
+++ b/libs/statements/tests/test_session.py
@@ -5,6 +5,7 @@
 import pytest
 from returns.result import Failure
 from statement_group import BUSY
+from statement_group import CLOCK
 from statement_group import entries
 from statement_group import KEYS
 from statement_group import new_group
@@ -355,3 +356,17 @@
             (None, OPEN),
             (None, IDLE),
         ]
+
+
+async def test_the_wait_for_a_token_leaves_time_for_the_statement():
+    """Guards against statements that are sent just to time out.
+
+    After a restart of the fleet requests wait for tokens, and those that got
+    one at the end of their time ended in doubt.
+    """
+    async with new_group() as group:
+        session = await group.open()
+        started_s = CLOCK.now_s()
+        await run(session, WRITE)
+        # The routes allow 0.6 s for a statement.
+        assert group.limiter.last_deadline_s <= started_s + 0.5
