Take turns on the connections that a database accepts

Cause: after a loss of power a database counts the connections of the lost processes for 3 s.

Change: after such a refusal a pool opens no more connections than the database has accepted for 0.5 s. Requests wait for one of them in the fair queue, and the connection of another account is closed before the next one is opened.

Tests: test_requests_take_turns_while_a_database_refuses_connections and two beside it.

--- a/libs/backend/siskinsail_backend/_account_pool.py
+++ b/libs/backend/siskinsail_backend/_account_pool.py
@@ -22,7 +22,9 @@
 
 from ._failures import ConnectionFailedError
 from ._failures import DatabaseError
+from ._failures import DatabaseRefusalError
 from ._failures import PoolClosedError
+from ._messages import RefusalCode
 from ._pacing import RequestPacer
 from ._pool_base import PoolBase
 from ._queue import QueueLimits
@@ -123,6 +125,10 @@
         # Time of the last use; the most recently used connection comes last.
         self._idle: dict[ConnectionT, float] = {}
         self._opening_count = 0
+        # Number of connections that the database accepted when it refused one
+        # more, and until when no more are opened.
+        self._accepted_limit = 0
+        self._limit_end_s = 0.0
         self._pacer = RequestPacer(clock, random.random)
 
     @property
@@ -204,7 +210,7 @@
             if connection is not None:
                 return Success(connection)
             if self._ensure_capacity():
-                return await self._open(waiter)
+                return await self._open_or_wait(waiter)
         refusal = self._waiting.check_deadline(
             waiter, self._allowed(), self._pacer.pause_s
         )
@@ -273,6 +279,10 @@
     def _held_connections(self) -> int:
         return len(self._idle) + len(self._in_use) + self._opening_count
 
+    @property
+    def _accepted_connections(self) -> int:
+        return len(self._idle) + len(self._in_use)
+
     @property
     def _excess(self) -> int:
         return self._held_connections - self._allowed()
@@ -281,6 +291,12 @@
     def _has_capacity(self) -> bool:
         return bool(self._idle) or self._excess < 0
 
+    def _allowed(self) -> int:
+        allowed = super()._allowed()
+        if self._clock.now_s() < self._limit_end_s:
+            return min(allowed, self._accepted_limit)
+        return allowed
+
     def _may_keep(self) -> bool:
         return not self._is_closed and self._excess < 0
 
@@ -326,16 +342,22 @@
         )
         opened: Result[ConnectionT, DatabaseError] | None = None
         try:
+            # The database counts a connection that was closed to make room
+            # until it is closed.
+            await self._close_discarded()
             opened = await self._connect(
                 self._server, waiter.account, timeout_s
             )
         finally:
             self._opening_count -= 1
-            if not isinstance(opened, Success):
+            if opened is None:
                 self._serve_queue()
         if isinstance(opened, Success):
             connection = opened.unwrap()
             self._in_use[connection] = self._clock.now_s()
+            self._accepted_limit = max(
+                self._accepted_limit, self._accepted_connections
+            )
             return Success(connection)
         error = opened.failure()
         log_event(
@@ -346,11 +368,14 @@
             reason=error.message,
         )
         self._record_connect_failure(error, timeout_s)
+        self._serve_queue()
         return Failure(error)
 
     def _record_connect_failure(
         self, error: DatabaseError, timeout_s: float
     ) -> None:
+        if error.code == RefusalCode.TOO_MANY_CONNECTIONS.value:
+            self._record_limit()
         if not isinstance(error, ConnectionFailedError):
             return
         if not error.is_timeout:
@@ -359,8 +384,43 @@
             # Further connections would queue behind this one at the database.
             self._pacer.record_refusal()
 
+    def _is_refused_for_limit(
+        self, opened: Result[ConnectionT, AccountAcquireFailure]
+    ) -> bool:
+        return (
+            isinstance(opened, Failure)
+            and isinstance(opened.failure(), DatabaseRefusalError)
+            and self._clock.now_s() < self._limit_end_s
+        )
+
+    def _record_limit(self) -> None:
+        """Record that the database accepts no more connections now.
+
+        It counts those of processes that lost their power for seconds. With
+        the connections that it has accepted, requests go on in turn.
+        """
+        now_s = self._clock.now_s()
+        if not self._accepted_connections:
+            return
+        if now_s >= self._limit_end_s:
+            self._accepted_limit = self._accepted_connections
+        self._limit_end_s = now_s + self._settings.refusal_delay_s
+
+    async def _open_or_wait(
+        self, waiter: Waiter, *, may_wait: bool = True
+    ) -> Result[ConnectionT, AccountAcquireFailure]:
+        """Open a connection, or wait for one that the database accepted.
+
+        A request waits once only, so that a database that refuses everything
+        ends its attempts.
+        """
+        opened = await self._open(waiter)
+        if may_wait and self._is_refused_for_limit(opened):
+            return await self._wait_in_queue(waiter.copy(), may_wait=False)
+        return opened
+
     async def _wait_in_queue(
-        self, waiter: Waiter
+        self, waiter: Waiter, *, may_wait: bool = True
     ) -> Result[ConnectionT, AccountAcquireFailure]:
         refusal: RequestError | None = None
         is_done = False
@@ -377,7 +437,7 @@
             return Failure(PoolClosedError(self.database))
         if grant is _OPEN_PERMIT:
             self._opening_count -= 1
-            return await self._open(waiter)
+            return await self._open_or_wait(waiter, may_wait=may_wait)
         connection: ConnectionT = grant  # type: ignore[assignment]
         return Success(connection)
 
--- a/libs/backend/siskinsail_backend/_queue.py
+++ b/libs/backend/siskinsail_backend/_queue.py
@@ -69,6 +69,16 @@
         self.grant: object | None = None
         self.has_left_queue = False
 
+    def copy(self) -> 'Waiter':
+        """Return a new request with the same arguments."""
+        return Waiter(
+            self.account,
+            self.weight,
+            self.deadline_s,
+            self.objective_s,
+            self.priority,
+        )
+
 
 class QueueLimits:
     """Limits the number of waiting requests over all queues of a daemon.
--- a/libs/backend/tests/test_account_pool.py
+++ b/libs/backend/tests/test_account_pool.py
@@ -10,6 +10,7 @@
 from siskinsail_backend import AccountPool
 from siskinsail_backend import BackendSettings
 from siskinsail_backend import ConnectionFailedError
+from siskinsail_backend import DatabaseRefusalError
 from siskinsail_backend import PoolClosedError
 from siskinsail_backend import QueueLimits
 from siskinsail_backend import Waiter
@@ -46,9 +47,15 @@
         self.unreachable = 0
         self.connect_s = 0.0
         self.failure = None
+        # Number of connections that the database accepts, and refused ones.
+        self.accepted = 100
+        self.refused = 0
 
     async def connect(self, server, account, timeout_s):
         await anyio.sleep(self.connect_s)
+        if len(self.open_connections) >= self.accepted:
+            self.refused += 1
+            return Failure(DatabaseRefusalError('too_many_connections'))
         if self.failure is not None:
             return Failure(self.failure)
         self.connections.append(Connection(account))
@@ -233,3 +240,55 @@
         pool.release(await acquire_connection(pool))
         assert database.open_connections
         await wait_until(lambda: not database.open_connections)
+
+
+async def test_requests_take_turns_while_a_database_refuses_connections():
+    """Guards against a storm of refused connections after a loss of power.
+
+    The database counts the connections of processes that are gone for
+    seconds, and accepts fewer than were lent. Requests of many accounts
+    arrive at once.
+    """
+    async with new_pool(allowed=6, refusal_delay_s=5.0) as (
+        pool,
+        database,
+        tasks,
+    ):
+        database.accepted = 2
+        served = []
+
+        async def use(account):
+            connection = await acquire_connection(pool, account, 5.0)
+            await anyio.sleep(0.01)
+            served.append(account)
+            pool.release(connection)
+
+        accounts = [f'account-{number}' for number in range(12)]
+        for account in accounts:
+            tasks.start_soon(use, account)
+        await wait_until(lambda: len(served) == len(accounts))
+        assert sorted(served) == sorted(accounts)
+        # Only the attempts that were made before the first refusal.
+        assert database.refused <= 4
+
+
+async def test_connections_are_opened_again_after_a_while():
+    async with new_pool(allowed=4, refusal_delay_s=0.1) as (pool, database, _):
+        database.accepted = 1
+        first = await acquire_connection(pool)
+        refused = await pool.acquire(new_waiter('b', 0.05))
+        assert isinstance(refused, Failure)
+        database.accepted = 4
+        await anyio.sleep(0.1)
+        assert (await acquire_connection(pool, 'b')).account == 'b'
+        pool.release(first)
+
+
+async def test_a_refusal_without_any_connection_is_answered_at_once():
+    """Guards against a wait for a connection that nobody can release."""
+    async with new_pool(allowed=4) as (pool, database, _):
+        database.accepted = 0
+        refused = await pool.acquire(new_waiter())
+        assert isinstance(refused.failure(), DatabaseRefusalError)
+        database.accepted = 1
+        assert await acquire_connection(pool)
