Wake idle daemons less often

A front without work spends most of it: its timers for allowances, positions, held transactions, the settings file, read timeouts of peers and the age of connections in each of 30 pools woke it over 20 times a second.

--- a/libs/backend/siskinsail_backend/_account_pool.py
+++ b/libs/backend/siskinsail_backend/_account_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 import random
 from typing import Protocol
 from typing import TypeVar
@@ -242,6 +243,9 @@
         if connection.is_lost:
             self._discard_idle()
         if connection.is_reusable and self._may_keep():
+            if not self._idle:
+                # The task of the pool checks the age of idle connections.
+                self._wake.set()
             self._idle[connection] = now_s
         else:
             self._discard(connection)
@@ -270,7 +274,9 @@
     @property
     def _next_check_s(self) -> float:
         """Seconds until the next check of the pool."""
-        interval_s = self._settings.idle_timeout_s * _IDLE_CHECK_FRACTION
+        interval_s = math.inf
+        if self._idle:
+            interval_s = self._settings.idle_timeout_s * _IDLE_CHECK_FRACTION
         if len(self._waiting) and self._pacer.wait_s:
             return min(interval_s, self._pacer.wait_s)
         return interval_s
--- a/libs/backend/siskinsail_backend/_allowance_watcher.py
+++ b/libs/backend/siskinsail_backend/_allowance_watcher.py
@@ -9,7 +9,7 @@
 
 # The control agent reports changes at once; this interval bounds the delay
 # after a report that was missed.
-_CHECK_INTERVAL_S = 0.25
+_CHECK_INTERVAL_S = 1.0
 # Inactive pools are checked only once in this many rounds, since a daemon may
 # know hundreds of databases of which it uses a few.
 _INACTIVE_CHECK_ROUNDS = 5
--- a/libs/net/siskinsail_net/_peer_client.py
+++ b/libs/net/siskinsail_net/_peer_client.py
@@ -35,7 +35,7 @@
 # connection that lost packets in a network partition waits for the TCP
 # retransmission, which may come seconds to minutes after the partition heals.
 READ_TIMEOUT_S = 2.0
-READ_TIMEOUT_CHECK_INTERVAL_S = 0.25
+MIN_READ_TIMEOUT_CHECK_S = 0.02
 
 
 class PeerCallError(SiskinsailError):
@@ -271,13 +271,10 @@
             if not self._pending:
                 self._call_pending = anyio.Event()
                 await self._call_pending.wait()
-            await anyio.sleep(
-                min(READ_TIMEOUT_CHECK_INTERVAL_S, self._read_timeout_s / 4)
-            )
-            waiting_since_s = self._waiting_since_s
-            if not self._pending or waiting_since_s is None:
-                continue
-            if self._clock.now_s() - waiting_since_s >= self._read_timeout_s:
+            # A frame that arrives during the sleep restarts the timeout.
+            remaining_s = self._read_timeout_s - self.unanswered_s
+            await anyio.sleep(max(remaining_s, MIN_READ_TIMEOUT_CHECK_S))
+            if self.unanswered_s >= self._read_timeout_s:
                 scope.cancel()
                 return
 
--- a/libs/statements/siskinsail_statements/_held_transactions.py
+++ b/libs/statements/siskinsail_statements/_held_transactions.py
@@ -57,6 +57,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._held: dict[int, HeldTransaction] = {}
+        self._added = anyio.Event()
 
     def __len__(self) -> int:
         """Return the number of open transactions."""
@@ -66,6 +67,7 @@
         """Add a transaction and return its number."""
         number = secrets.randbits(_NUMBER_BITS) | 1
         self._held[number] = held
+        self._added.set()
         return number
 
     def find(self, number: int, owner: VmId) -> HeldTransaction | None:
@@ -83,6 +85,9 @@
     async def run(self) -> None:
         """End transactions that are idle for too long, until cancelled."""
         while True:
+            if not self._held:
+                self._added = anyio.Event()
+                await self._added.wait()
             await anyio.sleep(_CHECK_INTERVAL_S)
             now_s = self._clock.now_s()
             for number, held in list(self._held.items()):
--- a/libs/statements/siskinsail_statements/_sampler.py
+++ b/libs/statements/siskinsail_statements/_sampler.py
@@ -64,15 +64,20 @@
         self._clock = clock
         self._demand: dict[ServiceId, _Demand] = {}
         self._querying: set[ServiceId] = set()
+        self._demanded = anyio.Event()
 
     def record_demand(self, service: ServiceId, account: AccountId) -> None:
         """Record a read for which this daemon determines the position."""
         self._demand[service] = _Demand(self._clock.now_s(), account)
+        self._demanded.set()
 
     async def run(self) -> None:
         """Query positions where samples are needed, until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
+                if not self._demand:
+                    self._demanded = anyio.Event()
+                    await self._demanded.wait()
                 now_s = self._clock.now_s()
                 for service, demand in list(self._demand.items()):
                     if now_s - demand.at_s > self._settings.sample_demand_s:
