Move callers, local limits and retry budgets into a library of their own

Statement sessions loaded the whole HTTP request path for four small classes. siskinsail_admission holds them now, and both request paths use it.

--- a/libs/proxy/siskinsail_proxy/_authentication.py
+++ b/libs/admission/siskinsail_admission/_authentication.py
@@ -13,8 +13,8 @@
 from siskinsail_types import Secret
 from siskinsail_types import ServiceClass
 
-from ._request_context import ANONYMOUS_ACCOUNT
-from ._request_context import Caller
+from ._caller import ANONYMOUS_ACCOUNT
+from ._caller import Caller
 
 _SCHEME = 'bearer '
 _MAX_AUTHORIZATION_CHARACTERS = 512
--- a/libs/proxy/siskinsail_proxy/_admission.py
+++ b/libs/proxy/siskinsail_proxy/_admission.py
@@ -6,6 +6,10 @@
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_admission import ANONYMOUS_CALLER
+from siskinsail_admission import authenticate
+from siskinsail_admission import Caller
+from siskinsail_admission import LocalTokenBucket
 from siskinsail_catalogue import RouteEntry
 from siskinsail_catalogue import View
 from siskinsail_catalogue import ViewSource
@@ -20,17 +24,13 @@
 from siskinsail_types import RouteId
 from siskinsail_types import RouteMode
 
-from ._authentication import ANONYMOUS_CALLER
-from ._authentication import authenticate
 from ._lease_policy import lease_expired_error
-from ._local_token_bucket import LocalTokenBucket
 from ._parsing import malformed_error
 from ._parsing import parse_headers
 from ._parsing import RequestHeaders
 from ._paths import Action
 from ._paths import parse_path
 from ._paths import RequestTarget
-from ._request_context import Caller
 from ._request_context import generate_id
 from ._request_context import RequestContext
 from ._session_keeper import SessionManager
--- a/libs/proxy/siskinsail_proxy/_dispatcher.py
+++ b/libs/proxy/siskinsail_proxy/_dispatcher.py
@@ -12,6 +12,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_admission import authenticate_key
 from siskinsail_backend import ConnectionFailedError
 from siskinsail_backend import ConnectionPool
 from siskinsail_backend import DatabaseConnection
@@ -30,7 +31,6 @@
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
 
-from ._authentication import authenticate_key
 from ._lease_policy import check_primary_lease
 from ._metrics import ProxyMetrics
 from ._request_context import RequestContext
--- a/libs/proxy/siskinsail_proxy/_expiry_transactions.py
+++ b/libs/proxy/siskinsail_proxy/_expiry_transactions.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 from returns.result import Result
 
+from siskinsail_admission import Caller
 from siskinsail_backend import DatabaseConnection
 from siskinsail_backend import DatabaseError
 from siskinsail_backend import ExecuteAnswer
@@ -22,7 +23,6 @@
 from siskinsail_types import ServiceId
 
 from ._dispatcher import Dispatcher
-from ._request_context import Caller
 from ._request_context import generate_id
 from ._request_context import RequestContext
 
--- a/libs/proxy/siskinsail_proxy/_proxy.py
+++ b/libs/proxy/siskinsail_proxy/_proxy.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_admission import RetryBudget
 from siskinsail_backend import DatabasePools
 from siskinsail_backend import ReplicaChooser
 from siskinsail_backend import Statement
@@ -39,7 +40,6 @@
 from ._responses import results_response
 from ._responses import rollback_response
 from ._responses import transaction_response
-from ._retry_budget import RetryBudget
 from ._retry_policy import RetryPolicy
 from ._session_keeper import SessionManager
 from ._settings import ProxySettings
--- a/libs/proxy/siskinsail_proxy/_request_context.py
+++ b/libs/proxy/siskinsail_proxy/_request_context.py
@@ -3,45 +3,18 @@
 from dataclasses import dataclass
 import secrets
 
+from siskinsail_admission import Caller
 from siskinsail_backend import Waiter
 from siskinsail_catalogue import RouteEntry
 from siskinsail_net import HttpConnection
 from siskinsail_sessions import Session
-from siskinsail_types import AccountId
 from siskinsail_types import ErrorCode
-from siskinsail_types import KeyDigest
 from siskinsail_types import Outcome
 from siskinsail_types import Position
 from siskinsail_types import RequestError
 from siskinsail_types import RequestId
 from siskinsail_types import ServiceId
 
-# Account of requests without an API key on routes with open access. Names of
-# catalogue entries are not empty, so no client account has this name.
-ANONYMOUS_ACCOUNT = AccountId('')
-
-
-@dataclass(slots=True)
-class Caller:
-    """The sender of a request.
-
-    Parameters
-    ----------
-    account : AccountId
-        Client account of the API key, ``ANONYMOUS_ACCOUNT`` without a key.
-    key : KeyDigest or None
-        Digest of the API key, which is checked again before each statement.
-    weight : float
-        Weight of the account in the fair queues of the connection pools.
-    service_class : str
-        Service class of the account, a label of metrics.
-    """
-
-    account: AccountId
-    key: KeyDigest | None
-    weight: float
-    service_class: str
-
 
 @dataclass(slots=True)
 class RequestContext:
--- a/libs/proxy/siskinsail_proxy/_retry_policy.py
+++ b/libs/proxy/siskinsail_proxy/_retry_policy.py
@@ -2,6 +2,7 @@
 
 from returns.result import Failure
 
+from siskinsail_admission import RetryBudget
 from siskinsail_types import ErrorCode
 from siskinsail_types import RequestError
 
@@ -9,7 +10,6 @@
 from ._events import EventLog
 from ._metrics import ProxyMetrics
 from ._request_context import RequestContext
-from ._retry_budget import RetryBudget
 
 # The requests of other callers refill the budget.
 BUDGET_RETRY_AFTER_S = 1.0
--- a/libs/statements/siskinsail_statements/_admission.py
+++ b/libs/statements/siskinsail_statements/_admission.py
@@ -8,15 +8,15 @@
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_admission import ANONYMOUS_CALLER
+from siskinsail_admission import authenticate_key
+from siskinsail_admission import Caller
+from siskinsail_admission import LocalTokenBucket
 from siskinsail_catalogue import key_digest
 from siskinsail_catalogue import RouteEntry
 from siskinsail_catalogue import SessionPolicy
 from siskinsail_catalogue import ViewSource
 from siskinsail_limits import RateLimiter
-from siskinsail_proxy import ANONYMOUS_CALLER
-from siskinsail_proxy import authenticate_key
-from siskinsail_proxy import Caller
-from siskinsail_proxy import LocalTokenBucket
 from siskinsail_types import Clock
 from siskinsail_types import KeyDigest
 from siskinsail_types import LeaseState
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -4,8 +4,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_admission import RetryBudget
 from siskinsail_catalogue import ViewSource
-from siskinsail_proxy import RetryBudget
 from siskinsail_types import Clock
 from siskinsail_types import DatabaseId
 from siskinsail_types import EvidenceSink
