Remember across leaders which databases left

Cause: a report that was delayed on its way, from before a database left, was refused only by the leader that had seen it leave. A leader that started later had stored the databases without the sequence of their reports, and the departed ones not at all, so that the old report made the database a member again, or one that is leaving ready again, until the announcement expired.

Change: the sequence of the last published report and the departed databases are stored in the replicated log (1,000 at most).

Tests: test_a_delayed_report_does_not_bring_a_database_back for a database that leaves, departed, or was replaced at its address. They need the stored departures and so do not run on the code before.

--- a/libs/control/siskinsail_control/_commands.py
+++ b/libs/control/siskinsail_control/_commands.py
@@ -104,10 +104,14 @@
         Databases that were added or have changed.
     gone : tuple of DatabaseId
         Databases that have stopped or no longer announce themselves.
+    departed : tuple of BackendServer
+        Last announcements of databases that were stopped as planned or whose
+        address another one uses.
     """
 
     changed: tuple[BackendServer, ...]
     gone: tuple[DatabaseId, ...] = ()
+    departed: tuple[BackendServer, ...] = ()
 
 
 Command = (
--- a/libs/control/siskinsail_control/_membership.py
+++ b/libs/control/siskinsail_control/_membership.py
@@ -28,6 +28,8 @@
     published: BackendServer
     latest: BackendServer
     received_s: float
+    # Whether an earlier leader stored it, and no announcement has arrived.
+    is_restored: bool = False
     # Last announcement with the same name from another location.
     conflicting: BackendServer | None = None
     conflicting_received_s: float = 0.0
@@ -80,22 +82,40 @@
             and record.conflicting_received_s > limit_s
         )
 
-    def restore(self, servers: Iterable[BackendServer]) -> None:
+    def restore(
+        self,
+        servers: Iterable[BackendServer],
+        departed: Iterable[BackendServer] = (),
+    ) -> None:
         """Add the databases that an earlier leader stored.
 
         They are members for half the validity of an announcement. Restoring
-        them is no evidence of liveness.
+        them is no evidence of liveness. Delayed announcements do not bring
+        back the departed ones.
         """
+        for server in departed:
+            self._departed[server.database] = server
         for server in servers:
             self.record_announcement(server, self._settings.announcement_s / 2)
+        for record in self._records.values():
+            record.is_restored = True
 
     def to_persist(self) -> dict[DatabaseId, BackendServer]:
         """Return the members to store for a later leader."""
         return {
-            database: _without_position(record.published)
+            # The sequence shows which later announcements were delayed.
+            database: msgspec.structs.replace(
+                _without_position(record.published),
+                sequence=record.published.sequence,
+            )
             for database, record in self._records.items()
         }
 
+    @property
+    def departed(self) -> dict[DatabaseId, BackendServer]:
+        """Last announcements of databases that were stopped, by name."""
+        return self._departed
+
     def record_announcement(self, server: BackendServer, age_s: float) -> bool:
         """Record an announcement; return whether the members changed.
 
@@ -127,6 +147,7 @@
             return False
         record.received_s = received_s
         record.latest = server
+        record.is_restored = False
         self._known[server.database] = server
         if _without_position(server) == _without_position(record.published):
             return False
@@ -256,8 +277,8 @@
         return (
             record is not None
             and record.latest.incarnation == server.incarnation
-            # The databases that an earlier leader stored have no sequence.
-            and record.latest.sequence > 0
+            # An earlier leader may have stored it long ago.
+            and not record.is_restored
             and server.sequence - record.latest.sequence > MAX_SEQUENCE_GAP
         )
 
--- a/libs/control/siskinsail_control/_membership_persistence.py
+++ b/libs/control/siskinsail_control/_membership_persistence.py
@@ -4,6 +4,7 @@
 
 from ._commands import RememberDatabases
 from ._leader_context import LeaderContext
+from ._state import MAX_DEPARTED_DATABASES
 
 # Changes are batched, so that databases that start together share a command.
 _WRITE_INTERVAL_S = 1.0
@@ -30,8 +31,10 @@
 
     def restore(self) -> None:
         """Load the databases that earlier leaders stored."""
-        databases = self._context.state.databases
-        self._context.membership.restore(databases.values())
+        state = self._context.state
+        self._context.membership.restore(
+            state.databases.values(), state.departed.values()
+        )
 
     async def run(self) -> None:
         """Commit changes until cancelled."""
@@ -53,9 +56,17 @@
         removed = [
             database for database in persisted if database not in members
         ]
-        if not changed and not removed:
+        departed = [
+            server
+            for server in list(self._context.membership.departed.values())[
+                -MAX_DEPARTED_DATABASES:
+            ]
+            if self._context.state.departed.get(server.database) != server
+        ]
+        if not changed and not removed and not departed:
             return None
         return RememberDatabases(
             tuple(changed[:_MAX_CHANGES_PER_COMMAND]),
             tuple(removed[:_MAX_CHANGES_PER_COMMAND]),
+            tuple(departed[:_MAX_CHANGES_PER_COMMAND]),
         )
--- a/libs/control/siskinsail_control/_state.py
+++ b/libs/control/siskinsail_control/_state.py
@@ -56,8 +56,12 @@
     daemons: list[tuple[DaemonKey, bool]]
     had_daemons: bool
     databases: tuple[BackendServer, ...] = ()
+    departed: tuple[BackendServer, ...] = ()
 
 
+# A delayed announcement of a stopped database arrives within minutes.
+MAX_DEPARTED_DATABASES = 1_000
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Snapshot)
 _answer_decoder = msgspec.msgpack.Decoder(ChangeResult)
@@ -85,6 +89,7 @@
         self._active_daemons: frozenset[DaemonKey] | None = None
         self._had_daemons = False
         self._databases: dict[DatabaseId, BackendServer] = {}
+        self._departed: dict[DatabaseId, BackendServer] = {}
         self._on_change: Callable[[], None] | None = None
 
     @property
@@ -135,6 +140,11 @@
         """Databases that an earlier leader stored, by name."""
         return self._databases
 
+    @property
+    def departed(self) -> dict[DatabaseId, BackendServer]:
+        """Last announcements of databases that were stopped, by name."""
+        return self._departed
+
     def set_change_listener(
         self, on_change: Callable[[], None] | None
     ) -> None:
@@ -159,6 +169,7 @@
                 list(self._daemons.items()),
                 self._had_daemons,
                 tuple(self._databases.values()),
+                tuple(self._departed.values()),
             )
         )
 
@@ -174,6 +185,9 @@
         self._databases = {
             server.database: server for server in snapshot.databases
         }
+        self._departed = {
+            server.database: server for server in snapshot.departed
+        }
         self._notify_change()
 
     def _notify_change(self) -> None:
@@ -278,4 +292,9 @@
             self._databases[server.database] = server
         for database in command.gone:
             self._databases.pop(database, None)
+        for server in command.departed:
+            self._departed.pop(server.database, None)
+            self._departed[server.database] = server
+        while len(self._departed) > MAX_DEPARTED_DATABASES:
+            del self._departed[next(iter(self._departed))]
         return ACCEPTED
--- a/libs/control/tests/test_membership.py
+++ b/libs/control/tests/test_membership.py
@@ -145,3 +145,53 @@
     leaving = msgspec.structs.replace(SERVER, leaving=True, sequence=1)
     assert membership.record_announcement(leaving, 0.0)
     assert membership.to_persist()['db'].leaving
+
+
+def _report(sequence, **changes):
+    fields = {'incarnation': 7, 'sequence': sequence, **changes}
+    return msgspec.structs.replace(SERVER, **fields)
+
+
+@pytest.mark.parametrize('cause', ['leaving', 'departed', 'replaced'])
+def test_a_delayed_report_does_not_bring_a_database_back(cause):
+    """Guards against a server that left and is used again after a restart.
+
+    The leader restarts, and then a report arrives that was delayed on its
+    way, from before the database left.
+    """
+    before, clock = _membership()
+    before.record_announcement(_report(5), 0.0)
+    clock.advance(0.1)
+    if cause == 'leaving':
+        before.record_announcement(_report(9, leaving=True), 0.0)
+    elif cause == 'departed':
+        before.mark_departed('db')
+    else:
+        successor = _report(1, database='new', incarnation=8)
+        before.record_announcement(successor, 0.0)
+    after = Membership(ControlSettings(), clock)
+    after.restore(before.to_persist().values(), before.departed.values())
+    clock.advance(0.1)
+    after.record_announcement(_report(4), 0.0)
+    member = after.member('db')
+    assert member is None or member.leaving
+
+
+def test_a_database_that_starts_again_is_used_after_it_departed():
+    before, clock = _membership()
+    before.record_announcement(_report(5), 0.0)
+    before.mark_departed('db')
+    after = Membership(ControlSettings(), clock)
+    after.restore(before.to_persist().values(), before.departed.values())
+    assert after.record_announcement(_report(1, incarnation=8), 0.0)
+
+
+def test_a_restored_database_may_be_far_ahead():
+    """Guards against a true report that looks implausible after hours."""
+    before, clock = _membership()
+    before.record_announcement(_report(5), 0.0)
+    after = Membership(ControlSettings(), clock)
+    after.restore(before.to_persist().values())
+    clock.advance(0.1)
+    after.record_announcement(_report(90_000), 0.0)
+    assert after.member('db').sequence == 90_000
