--- a/libs/backend/siskinsail_backend/_account_pool.py
+++ b/libs/backend/siskinsail_backend/_account_pool.py
@@ -21,6 +21,7 @@
 from siskinsail_types import EvidenceSink
 from siskinsail_types import RequestError
 
+from ._accepted_limit import AcceptedLimit
 from ._failures import ConnectionFailedError
 from ._failures import DatabaseError
 from ._failures import DatabaseRefusalError
@@ -126,10 +127,7 @@
         # Time of the last use; the most recently used connection comes last.
         self._idle: dict[ConnectionT, float] = {}
         self._opening_count = 0
-        # Number of connections that the database accepted when it refused one
-        # more, and until when no more are opened.
-        self._accepted_limit = 0
-        self._limit_end_s = 0.0
+        self._accepted_limit = AcceptedLimit(settings.refusal_delay_s, clock)
         self._pacer = RequestPacer(clock, random.random)
 
     @property
@@ -298,10 +296,7 @@
         return bool(self._idle) or self._excess < 0
 
     def _allowed(self) -> int:
-        allowed = super()._allowed()
-        if self._clock.now_s() < self._limit_end_s:
-            return min(allowed, self._accepted_limit)
-        return allowed
+        return self._accepted_limit.apply(super()._allowed())
 
     def _may_keep(self) -> bool:
         return not self._is_closed and self._excess < 0
@@ -361,9 +356,7 @@
         if isinstance(opened, Success):
             connection = opened.unwrap()
             self._in_use[connection] = self._clock.now_s()
-            self._accepted_limit = max(
-                self._accepted_limit, self._accepted_connections
-            )
+            self._accepted_limit.record_opened(self._accepted_connections)
             return Success(connection)
         error = opened.failure()
         log_event(
@@ -381,7 +374,7 @@
         self, error: DatabaseError, timeout_s: float
     ) -> None:
         if error.code == RefusalCode.TOO_MANY_CONNECTIONS.value:
-            self._record_limit()
+            self._accepted_limit.record_refusal(self._accepted_connections)
         if not isinstance(error, ConnectionFailedError):
             return
         if not error.is_timeout:
@@ -396,22 +389,9 @@
         return (
             isinstance(opened, Failure)
             and isinstance(opened.failure(), DatabaseRefusalError)
-            and self._clock.now_s() < self._limit_end_s
+            and self._accepted_limit.is_active
         )
 
-    def _record_limit(self) -> None:
-        """Record that the database accepts no more connections now.
-
-        It counts those of processes that lost their power for seconds. With
-        the connections that it has accepted, requests go on in turn.
-        """
-        now_s = self._clock.now_s()
-        if not self._accepted_connections:
-            return
-        if now_s >= self._limit_end_s:
-            self._accepted_limit = self._accepted_connections
-        self._limit_end_s = now_s + self._settings.refusal_delay_s
-
     async def _open_or_wait(
         self, waiter: Waiter, *, may_wait: bool = True
     ) -> Result[ConnectionT, AccountAcquireFailure]:
--- a/libs/statements/siskinsail_statements/_forwarded_connection.py
+++ b/libs/statements/siskinsail_statements/_forwarded_connection.py
@@ -7,34 +7,27 @@
 
 from siskinsail_backend import AccountAcquireFailure
 from siskinsail_backend import ConnectionFailedError
-from siskinsail_backend import DatabaseRefusalError
-from siskinsail_backend import PoolClosedError
 from siskinsail_backend import Waiter
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import ServingDaemon
 from siskinsail_types import AccountId
-from siskinsail_types import ErrorCode
-from siskinsail_types import Position
-from siskinsail_types import RequestError
 from siskinsail_types import RequestId
 
 from ._connection import ExchangeResult
 from ._connection import NotRunError
 from ._connection import SessionVariables
-from ._failures import PositionUnknownError
 from ._forwarder import Forwarder
 from ._forwarder import HolderLostError
 from ._forwarder import HolderUnavailableError
+from ._forwarding_codec import not_run_cause
+from ._forwarding_codec import reply_of
+from ._forwarding_codec import statement_parts
 from ._forwarding_messages import ForwardedAction
 from ._forwarding_messages import ForwardedAnswer
 from ._forwarding_messages import ForwardedCall
 from ._forwarding_messages import ForwardedOutcome
 from ._forwarding_messages import NotRunReason
 from ._forwarding_messages import SessionValue
-from ._outcome import Reply
-from ._outcome import StatementError
-from ._outcome import StatementErrorCode
-from ._outcome import TransactionState
 from ._positions import MinPosition
 from ._positions import ReadBound
 from ._statement import Begin
@@ -208,7 +201,7 @@
         now_s = self._forwarder.clock.now_s()
         bound = min_position if isinstance(min_position, ReadBound) else None
         session_position = bound.position if bound is not None else None
-        text, is_write, arguments = _statement_parts(variables, statement)
+        text, is_write, arguments = statement_parts(variables, statement)
         return ForwardedCall(
             action,
             self._server.group,
@@ -267,7 +260,7 @@
         if answer.outcome is ForwardedOutcome.NOT_RUN:
             if answer.reason is NotRunReason.TRANSACTION_UNKNOWN:
                 self._transaction = 0
-            return Failure(NotRunError(_not_run_cause(answer)))
+            return Failure(NotRunError(not_run_cause(answer)))
         if answer.outcome is ForwardedOutcome.UNANSWERED:
             return Failure(
                 ConnectionFailedError(
@@ -278,7 +271,7 @@
             self._transaction = answer.transaction
             self._holders = (daemon,)
         try:
-            return Success(_reply(answer))
+            return Success(reply_of(answer))
         except ValueError as error:
             # An error code or a state of another version.
             return Failure(ConnectionFailedError(str(error)))
@@ -286,61 +279,3 @@
 
 def _holder_timeout_s(timeout_s: float) -> float:
     return max(timeout_s - _RETURN_MARGIN_S, timeout_s / 2)
-
-
-def _statement_parts(
-    variables: SessionVariables, statement: Query | Execute | None
-) -> tuple[str, bool, str]:
-    """Return the text, whether it writes, and the arguments."""
-    if isinstance(statement, Query):
-        return statement.text, statement.is_write, ''
-    if isinstance(statement, Execute):
-        query = variables.prepared[statement.name]
-        return query.text, query.is_write, statement.arguments
-    return '', False, ''
-
-
-def _reply(answer: ForwardedAnswer) -> Reply:
-    error = None
-    if answer.error:
-        error = StatementError(
-            StatementErrorCode(answer.error),
-            answer.message,
-            answer.retry_after_s if answer.retry_after_s >= 0 else None,
-        )
-    position: Position | None = answer.position
-    return Reply(
-        tuple(row.text for row in answer.rows),
-        answer.receipt,
-        error,
-        TransactionState(answer.state or TransactionState.IDLE.value),
-        position,
-        answer.position_age_s,
-    )
-
-
-def _not_run_cause(answer: ForwardedAnswer) -> AccountAcquireFailure:
-    """Return the error that the holder met before the statement was sent."""
-    retry_after_s = answer.retry_after_s if answer.retry_after_s >= 0 else None
-    match answer.reason:
-        case NotRunReason.OVERLOADED:
-            return RequestError(
-                ErrorCode.OVERLOADED,
-                answer.message,
-                retry_after_s=retry_after_s,
-            )
-        case NotRunReason.DEADLINE_EXCEEDED:
-            return RequestError(
-                ErrorCode.DEADLINE_EXCEEDED,
-                answer.message,
-                retry_after_s=retry_after_s,
-            )
-        case NotRunReason.CONNECTION_REFUSED:
-            return DatabaseRefusalError(answer.error, answer.message)
-        case NotRunReason.CONNECTION_FAILED:
-            return ConnectionFailedError(
-                answer.message, is_timeout=answer.is_timeout
-            )
-        case NotRunReason.POSITION_UNKNOWN:
-            return PositionUnknownError()
-    return PoolClosedError(answer.message)
--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -7,24 +7,23 @@
 from returns.result import Failure
 from returns.result import Success
 
-from siskinsail_backend import ConnectionFailedError
-from siskinsail_backend import DatabaseError
-from siskinsail_backend import DatabaseRefusalError
-from siskinsail_backend import PoolClosedError
 from siskinsail_catalogue import ViewSource
 from siskinsail_types import Clock
 from siskinsail_types import Consistency
-from siskinsail_types import ErrorCode
 from siskinsail_types import LeaseState
-from siskinsail_types import RequestError
 from siskinsail_types import VmId
 
 from ._connection import ExchangeResult
-from ._connection import NotRunError
 from ._connection import SessionVariables
-from ._failures import PositionUnknownError
 from ._failures import UnansweredError
-from ._forwarding_messages import AnswerRow
+from ._forwarding_codec import answered
+from ._forwarding_codec import called_statement
+from ._forwarding_codec import called_variables
+from ._forwarding_codec import exchanged
+from ._forwarding_codec import not_run
+from ._forwarding_codec import not_run_answer
+from ._forwarding_codec import not_served
+from ._forwarding_codec import transaction_unknown
 from ._forwarding_messages import decode_call
 from ._forwarding_messages import encode_answer
 from ._forwarding_messages import ForwardedAction
@@ -49,14 +48,9 @@
 from ._routed_pool import RoutedPools
 from ._sampler import PositionSampler
 from ._statement import Begin
-from ._statement import Execute
-from ._statement import PreparedQuery
-from ._statement import Query
 from ._statement_sender import AttemptError
 from ._statement_sender import StatementSender
 
-# Name of the only prepared statement of a forwarded call.
-_PREPARED_NAME = 'p'
 # A position younger than this is answered without a query, so that the
 # holders of the replicas together cause few queries.
 _FRESH_POSITION_S = 0.25
@@ -149,7 +143,7 @@
         """
         call = decode_call(payload)
         if self._is_draining and not call.transaction:
-            return encode_answer(_not_run(NotRunReason.DRAINING, 'draining'))
+            return encode_answer(not_run(NotRunReason.DRAINING, 'draining'))
         self._running += 1
         try:
             answer = await self._actions[call.action](caller, call)
@@ -163,7 +157,7 @@
     async def _run_single(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
-        variables, statement = _statement(call)
+        variables, statement = called_statement(call)
         operation = self._make_operation(call, variables)
 
         async def send(
@@ -177,18 +171,18 @@
 
         target = self._target(call, operation)
         if target is None:
-            return _not_served()
+            return not_served()
         attempt = await self._sender.send_to(
             operation, target, send, operation.deadline_s
         )
         if isinstance(attempt, Success):
-            return _answered(attempt.unwrap())
+            return answered(attempt.unwrap())
         return self._failed(operation, target, attempt.failure())
 
     async def _begin(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
-        variables = _variables(call)
+        variables = called_variables(call)
         operation = self._make_operation(call, variables)
         kept: list[StatementConnection] = []
 
@@ -206,7 +200,7 @@
 
         target = self._target(call, operation)
         if target is None:
-            return _not_served()
+            return not_served()
         attempt = await self._sender.send_to(
             operation, target, send, operation.deadline_s, kept
         )
@@ -222,15 +216,15 @@
             call.request_id,
         )
         number = self._transactions.add(held)
-        return _answered(attempt.unwrap(), number)
+        return answered(attempt.unwrap(), number)
 
     async def _run_in_transaction(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
         held = await self._find_usable(caller, call)
         if held is None:
-            return _transaction_unknown()
-        variables, statement = _statement(call)
+            return transaction_unknown()
+        variables, statement = called_statement(call)
         connection = held.transaction.connection
         result = await self._exchange(
             held,
@@ -241,31 +235,31 @@
         )
         if not connection.is_in_transaction or isinstance(result, Failure):
             await self._end(call.transaction, held)
-        return _exchanged(result)
+        return exchanged(result)
 
     async def _commit(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
         held = await self._find_usable(caller, call)
         if held is None:
-            return _transaction_unknown()
+            return transaction_unknown()
         connection = held.transaction.connection
         result = await self._exchange(
             held,
             call,
             lambda: connection.commit(
-                _variables(call), call.request_id, call.timeout_s
+                called_variables(call), call.request_id, call.timeout_s
             ),
         )
         await self._end(call.transaction, held)
-        return _exchanged(result)
+        return exchanged(result)
 
     async def _roll_back(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
         held = self._transactions.find(call.transaction, caller)
         if held is None:
-            return _transaction_unknown()
+            return transaction_unknown()
         self._transactions.remove(call.transaction)
         if held.is_running:
             # The statement that is running ends with its connection.
@@ -281,7 +275,7 @@
         """Answer the newest position, after a query if it is too old."""
         primary = self._primaries.find(call.service)
         if primary is None or primary.database != call.database:
-            return _not_served()
+            return not_served()
         samples = self._sender.samples(call.service)
         age_s = self._clock.now_s() - samples.newest_sent_s
         if age_s > _FRESH_POSITION_S:
@@ -291,10 +285,10 @@
             age_s = self._clock.now_s() - samples.newest_sent_s
         position = samples.newest
         if position is None or age_s > call.timeout_s:
-            return _not_run(
+            return not_run(
                 NotRunReason.POSITION_UNKNOWN, 'no recent position is known'
             )
-        return _answered(Reply(position=position, position_age_s=age_s))
+        return answered(Reply(position=position, position_age_s=age_s))
 
     async def _find_usable(
         self, caller: VmId, call: ForwardedCall
@@ -424,112 +418,9 @@
     ) -> ForwardedAnswer:
         self._sender.record_failure(operation, target, error)
         if isinstance(error, StatementError):
-            return _answered(Reply(error=error))
+            return answered(Reply(error=error))
         if isinstance(error, UnansweredError):
             return ForwardedAnswer(
                 ForwardedOutcome.UNANSWERED, message=str(error)
             )
-        return _not_run_answer(error)
-
-
-def _statement(
-    call: ForwardedCall,
-) -> tuple[SessionVariables, Query | Execute]:
-    """Return the session values and the statement of a call."""
-    variables = _variables(call)
-    if not call.is_prepared:
-        return variables, Query(call.text, call.is_write)
-    variables.prepared[_PREPARED_NAME] = PreparedQuery(
-        call.text, call.is_write
-    )
-    return variables, Execute(_PREPARED_NAME, call.arguments)
-
-
-def _variables(call: ForwardedCall) -> SessionVariables:
-    variables = SessionVariables()
-    variables.values.update((item.name, item.value) for item in call.values)
-    return variables
-
-
-def _answered(reply: Reply, transaction: int = 0) -> ForwardedAnswer:
-    error, position = reply.error, reply.position
-    retry_after_s = None if error is None else error.retry_after_s
-    return ForwardedAnswer(
-        ForwardedOutcome.ANSWERED,
-        tuple(map(AnswerRow, reply.rows)),
-        reply.receipt,
-        '' if error is None else error.code.value,
-        '' if error is None else error.message,
-        -1.0 if retry_after_s is None else retry_after_s,
-        reply.state.value,
-        0 if position is None else position.term,
-        0 if position is None else position.index,
-        reply.position_age_s,
-        transaction,
-    )
-
-
-def _exchanged(result: ExchangeResult) -> ForwardedAnswer:
-    if isinstance(result, Success):
-        return _answered(result.unwrap())
-    failure = result.failure()
-    if isinstance(failure, NotRunError):
-        return _not_run_answer(failure.cause)
-    return ForwardedAnswer(
-        ForwardedOutcome.UNANSWERED,
-        message=failure.message,
-        is_timeout=failure.is_timeout,
-    )
-
-
-def _not_run(reason: NotRunReason, message: str) -> ForwardedAnswer:
-    return ForwardedAnswer(
-        ForwardedOutcome.NOT_RUN, message=message, reason=reason
-    )
-
-
-def _not_served() -> ForwardedAnswer:
-    return _not_run(NotRunReason.NOT_SERVED, 'the database is not served here')
-
-
-def _transaction_unknown() -> ForwardedAnswer:
-    return _not_run(
-        NotRunReason.TRANSACTION_UNKNOWN, 'the transaction is not open here'
-    )
-
-
-def _not_run_answer(
-    error: RequestError | PoolClosedError | DatabaseError,
-) -> ForwardedAnswer:
-    """Return the answer for a statement that was not sent."""
-    if isinstance(error, RequestError):
-        reason = (
-            NotRunReason.DEADLINE_EXCEEDED
-            if error.code is ErrorCode.DEADLINE_EXCEEDED
-            else NotRunReason.OVERLOADED
-        )
-        return ForwardedAnswer(
-            ForwardedOutcome.NOT_RUN,
-            message=error.message,
-            retry_after_s=(
-                -1.0 if error.retry_after_s is None else error.retry_after_s
-            ),
-            reason=reason,
-        )
-    if isinstance(error, PositionUnknownError):
-        return _not_run(NotRunReason.POSITION_UNKNOWN, error.message)
-    if isinstance(error, DatabaseRefusalError):
-        return ForwardedAnswer(
-            ForwardedOutcome.NOT_RUN,
-            error=error.code,
-            message=error.message,
-            reason=NotRunReason.CONNECTION_REFUSED,
-        )
-    if isinstance(error, ConnectionFailedError):
-        return ForwardedAnswer(
-            ForwardedOutcome.NOT_RUN,
-            message=error.message,
-            is_timeout=error.is_timeout,
-            reason=NotRunReason.CONNECTION_FAILED,
-        )
-    return _not_run(NotRunReason.NOT_SERVED, str(error))
+        return not_run_answer(error)
