Let the runner and the holder service send statements by the same functions

The holder service had written again how a statement or a BEGIN is sent and its connection kept, which the runner already did. Both now use query_function and begin_function of the statement sender. An unused parameter is gone.

--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -42,13 +42,13 @@
 from ._outcome import Reply
 from ._outcome import StatementError
 from ._ports import StatementConnection
-from ._positions import MinPosition
 from ._primaries import PrimaryFinder
-from ._routed_pool import RoutedPool
 from ._routed_pool import RoutedPools
 from ._sampler import PositionSampler
 from ._statement import Begin
 from ._statement_sender import AttemptError
+from ._statement_sender import begin_function
+from ._statement_sender import query_function
 from ._statement_sender import StatementSender
 
 # A position younger than this is answered without a query, so that the
@@ -159,16 +159,7 @@
     ) -> ForwardedAnswer:
         variables, statement = called_statement(call)
         operation = self._make_operation(call, variables)
-
-        async def send(
-            connection: StatementConnection,
-            min_position: MinPosition,
-            timeout_s: float,
-        ) -> ExchangeResult:
-            return await connection.query(
-                variables, statement, call.request_id, min_position, timeout_s
-            )
-
+        send = query_function(operation, statement)
         target = self._target(call, operation)
         if target is None:
             return not_served()
@@ -185,19 +176,7 @@
         variables = called_variables(call)
         operation = self._make_operation(call, variables)
         kept: list[StatementConnection] = []
-
-        async def send(
-            connection: StatementConnection,
-            min_position: MinPosition,
-            timeout_s: float,
-        ) -> ExchangeResult:
-            result = await connection.begin(
-                variables, Begin(call.is_read_only), min_position, timeout_s
-            )
-            if isinstance(result, Success) and result.unwrap().error is None:
-                kept.append(connection)
-            return result
-
+        send = begin_function(operation, Begin(call.is_read_only), kept)
         target = self._target(call, operation)
         if target is None:
             return not_served()
@@ -382,12 +361,12 @@
             if not self._primaries.is_current(call.service, pool):
                 return None
             return DatabaseTarget(pool, None, True)
-        if not self._serves_replica(call, pool):
+        if not self._serves_replica(call):
             return None
         self._sampler.record_demand(call.service, call.account)
         return DatabaseTarget(pool, bound, False)
 
-    def _serves_replica(self, call: ForwardedCall, pool: RoutedPool) -> bool:
+    def _serves_replica(self, call: ForwardedCall) -> bool:
         view = self._views.view
         server = view.databases.get(call.database)
         return (
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -13,7 +13,6 @@
 from siskinsail_types import ServiceId
 
 from ._admission import busy_error
-from ._connection import ExchangeResult
 from ._failures import UnansweredError
 from ._metrics import StatementMetrics
 from ._operation import DatabaseTarget
@@ -23,7 +22,6 @@
 from ._outcome import StatementError
 from ._outcome import StatementErrorCode
 from ._ports import StatementConnection
-from ._positions import MinPosition
 from ._positions import ReadBound
 from ._primaries import PrimaryFinder
 from ._replicas import ReplicaSelector
@@ -32,6 +30,8 @@
 from ._statement import Execute
 from ._statement import Query
 from ._statement_sender import AttemptError
+from ._statement_sender import begin_function
+from ._statement_sender import query_function
 from ._statement_sender import SendFunction
 from ._statement_sender import StatementSender
 
@@ -94,7 +94,7 @@
         self, operation: Operation, statement: Query | Execute
     ) -> StatementResult:
         """Run a read on any database that is recent enough for it."""
-        send = _query_function(operation, statement)
+        send = query_function(operation, statement)
         self._retry_budget.count_request()
         result = await self._run_on_any(operation, send)
         return result.map(lambda pair: pair[1])
@@ -104,19 +104,7 @@
     ) -> Result[OpenTransaction, StatementError]:
         """Begin a transaction; a read-only one may run on a replica."""
         kept_connections: list[StatementConnection] = []
-
-        async def send(
-            connection: StatementConnection,
-            min_position: MinPosition,
-            timeout_s: float,
-        ) -> ExchangeResult:
-            reply = await connection.begin(
-                operation.variables, begin, min_position, timeout_s
-            )
-            if isinstance(reply, Success) and reply.unwrap().error is None:
-                kept_connections.append(connection)
-            return reply
-
+        send = begin_function(operation, begin, kept_connections)
         self._retry_budget.count_request()
         result = await self._run_on_any(
             operation,
@@ -140,7 +128,7 @@
         self, operation: Operation, statement: Query | Execute
     ) -> StatementResult:
         """Run a write on the primary, at most once."""
-        send = _query_function(operation, statement)
+        send = query_function(operation, statement)
         rounds = 0
         self._retry_budget.count_request()
         while True:
@@ -337,24 +325,3 @@
         'no database is available for the statement',
         _BUSY_RETRY_AFTER_S,
     )
-
-
-def _query_function(
-    operation: Operation, statement: Query | Execute
-) -> SendFunction:
-    """Return a function that sends a statement outside a transaction."""
-
-    async def send(
-        connection: StatementConnection,
-        min_position: MinPosition,
-        timeout_s: float,
-    ) -> ExchangeResult:
-        return await connection.query(
-            operation.variables,
-            statement,
-            operation.request_id,
-            min_position,
-            timeout_s,
-        )
-
-    return send
--- a/libs/statements/siskinsail_statements/_statement_sender.py
+++ b/libs/statements/siskinsail_statements/_statement_sender.py
@@ -35,6 +35,9 @@
 from ._primaries import PrimaryFinder
 from ._replicas import ReplicaSelector
 from ._settings import StatementSettings
+from ._statement import Begin
+from ._statement import Execute
+from ._statement import Query
 
 AttemptError = RequestError | PoolClosedError | DatabaseError | StatementError
 SendFunction = Callable[
@@ -282,6 +285,55 @@
         return operation.deadline_s - self._clock.now_s()
 
 
+def query_function(
+    operation: Operation, statement: Query | Execute
+) -> SendFunction:
+    """Return a function that sends a statement outside a transaction."""
+
+    async def send(
+        connection: StatementConnection,
+        min_position: MinPosition,
+        timeout_s: float,
+    ) -> ExchangeResult:
+        return await connection.query(
+            operation.variables,
+            statement,
+            operation.request_id,
+            min_position,
+            timeout_s,
+        )
+
+    return send
+
+
+def begin_function(
+    operation: Operation,
+    begin: Begin,
+    kept_connections: list[StatementConnection],
+) -> SendFunction:
+    """Return a function that begins a transaction.
+
+    Parameters
+    ----------
+    kept_connections : list of StatementConnection
+        Receives the connection on which the transaction is open.
+    """
+
+    async def send(
+        connection: StatementConnection,
+        min_position: MinPosition,
+        timeout_s: float,
+    ) -> ExchangeResult:
+        reply = await connection.begin(
+            operation.variables, begin, min_position, timeout_s
+        )
+        if isinstance(reply, Success) and reply.unwrap().error is None:
+            kept_connections.append(connection)
+        return reply
+
+    return send
+
+
 def _failure_reason(error: AttemptError) -> str:
     if isinstance(error, RequestError):
         return error.code.value
