--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,4 +1,4 @@
-"""An evacuated primary runs new writes, as nobody asked for it before."""
+"""Control promotes a database in an evacuated zone, which runs writes."""
 
 import asyncio
 from pathlib import Path
@@ -7,32 +7,59 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from stand_ins.case import run
+from stand_ins.client import Answer
 from stand_ins.client import Client
 from stand_ins.deployment import CannotRunError
 from stand_ins.deployment import Deployment
 from stand_ins.deployment import manifest
+from stand_ins.deployment import Process
 from stand_ins.deployment import route
 from stand_ins.deployment import tenant
 
+# The primary is in the first zone.
 ZONES = {'a': 'east', 'b': 'west', 'c': 'south'}
+EVACUATED = 'b'
 SERVICE = 'orders'
 HOST = 'orderdb'
 KEY = 'key-of-north'
-EVACUATED = 'a'
+WRITE_GAP_S = 0.1
 EVACUATE_S = 5.0
-# Databases that have crashed are forgotten in this time.
-AFTER_CRASH_S = 8.0
-WRITES = 5
-WRITE_GAP_S = 0.3
+BEFORE_DEAF_S = EVACUATE_S + 1.0
+DEAF_BEFORE_CRASH_S = 1.0
+# The replica receives nothing for this time (replica_lag, for_s).
+DEAF_S = 6.0
+AFTER_CRASH_S = 10.0
+
+
+async def write_orders(
+    deployment: Deployment, front: Process, answers: list[Answer]
+) -> None:
+    """Write at regular intervals until cancelled."""
+    number = 0
+    while True:
+        await asyncio.sleep(WRITE_GAP_S)
+        client = await Client.open(
+            deployment.record,
+            'client',
+            deployment.frontend(front),
+            HOST,
+            KEY,
+        )
+        if client is None:
+            continue
+        number += 1
+        answers.append(await client.query(f'WRITE jar {number}'))
+        client.close()
 
 
 async def scenario(deployment: Deployment, has_trouble: bool) -> list[str]:
-    """Return the writes that reached a database of the evacuated zone."""
+    """Return the writes that ran in the evacuated zone."""
     record = deployment.record
     for zone in ZONES:
         deployment.add_machine('core', zone)
-    front = deployment.add_machine('front', 'b')
+    front = deployment.add_machine('front', 'c')
     service = await deployment.add_service(SERVICE, list(ZONES))
+    primary, _, replica = service.databases
     await deployment.start_all(
         manifest(
             7,
@@ -42,42 +69,38 @@
         )
     )
     await asyncio.sleep(3.0)
-    client = await Client.open(
-        record, 'client', deployment.frontend(front), HOST, KEY
-    )
-    if client is None or not (await client.query('WRITE jar 0')).is_success:
-        raise CannotRunError('the first write failed')
+    answers: list[Answer] = []
+    task = asyncio.create_task(write_orders(deployment, front, answers))
+    await asyncio.sleep(1.0)
 
-    for database in service.databases:
-        if database.zone != EVACUATED:
-            await database.stop()
-    await asyncio.sleep(AFTER_CRASH_S)
+    status, _ = await deployment.order(
+        'POST', f'/-/evacuations/{EVACUATED}/start'
+    )
+    if status != 200:
+        raise CannotRunError(f'the evacuation was answered with {status}')
     confirmed_s = record.now_s()
+    await asyncio.sleep(BEFORE_DEAF_S)
     if has_trouble:
-        status, _ = await deployment.order(
-            'POST', f'/-/evacuations/{EVACUATED}/start'
-        )
-        if status != 200:
-            raise CannotRunError(f'the evacuation was answered with {status}')
-        confirmed_s = record.now_s()
-    await asyncio.sleep(EVACUATE_S + 2.0)
-
-    answers = []
-    for number in range(WRITES):
-        answers.append(await client.query(f'WRITE jar {number + 1}'))
-        await asyncio.sleep(WRITE_GAP_S)
-    client.close()
-    if not has_trouble:
-        return [] if answers[0].is_success else ['the primary does not serve']
+        record.write(replica.id, 'receives nothing from now on')
+        replica.is_deaf = True
+        await asyncio.sleep(DEAF_BEFORE_CRASH_S)
+        await primary.stop()
+        await asyncio.sleep(DEAF_S - DEAF_BEFORE_CRASH_S)
+        replica.hear_again()
+    await asyncio.sleep(AFTER_CRASH_S)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    if not any(answer.is_success for answer in answers):
+        raise CannotRunError('no write succeeded')
 
-    sent_s = {answer.request_id: answer.sent_s for answer in answers}
+    ids = {answer.request_id for answer in answers}
     zones = {database.id: database.zone for database in service.databases}
     return [
         f'EVAC: {ran.request_id} {ran.text!r} ran at {ran.database} in zone '
         f'{EVACUATED}, {ran.at_s - confirmed_s:.1f} s after the evacuation '
         'was confirmed'
         for ran in service.runs
-        if ran.request_id in sent_s
+        if ran.request_id in ids
         and zones[ran.database] == EVACUATED
         and ran.at_s > confirmed_s + EVACUATE_S
     ]
--- a/review/stand_ins/database.py
+++ b/review/stand_ins/database.py
@@ -14,6 +14,8 @@
 APPLY_DELAY_S = 0.02
 PROMOTE_S = 0.6
 QUEUE = 40
+# A message has at most 1 MiB; room is left for the words before it.
+LINE_BYTES = 2 * 1024 * 1024
 
 
 @dataclass
@@ -102,6 +104,8 @@
         self.received = 0
         self.applied = 0
         self.is_running = False
+        # Whether it receives nothing from the primary.
+        self.is_deaf = False
         self.state = 'ready'
         self.sequence = 0
         self.beat_now = asyncio.Event()
@@ -126,7 +130,9 @@
     async def start(self, controls: list[http.Address]) -> None:
         """Listen, and report the status until stopped."""
         self.is_running = True
-        self._server = await asyncio.start_server(self._serve, *self.address)
+        self._server = await asyncio.start_server(
+            self._serve, *self.address, limit=LINE_BYTES
+        )
         self._tasks.append(asyncio.create_task(self._beat(controls)))
 
     async def stop(self) -> None:
@@ -329,11 +335,17 @@
         )
         self.received = self.applied = len(service.log)
         for other in service.databases:
-            if other is not self and other.is_running:
+            if other is not self and other.is_running and not other.is_deaf:
                 other.received = self.received
                 loop = asyncio.get_running_loop()
                 loop.call_later(APPLY_DELAY_S, other.apply, self.received)
 
+    def hear_again(self) -> None:
+        """Receive again what the primary has committed."""
+        self.is_deaf = False
+        self.received = len(self.service.log)
+        self.apply(self.received)
+
     def apply(self, index: int) -> None:
         """Apply what was received up to an index."""
         self.applied = max(self.applied, min(index, self.received))
