--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,4 +1,4 @@
-"""An evacuated primary runs new writes, as nobody asked for it before."""
+"""Session values of a few clients make front machines outgrow their memory."""
 
 import asyncio
 from pathlib import Path
@@ -8,9 +8,9 @@
 
 from stand_ins.case import run
 from stand_ins.client import Client
-from stand_ins.deployment import CannotRunError
 from stand_ins.deployment import Deployment
 from stand_ins.deployment import manifest
+from stand_ins.deployment import Process
 from stand_ins.deployment import route
 from stand_ins.deployment import tenant
 
@@ -18,21 +18,50 @@
 SERVICE = 'orders'
 HOST = 'orderdb'
 KEY = 'key-of-north'
-EVACUATED = 'a'
-EVACUATE_S = 5.0
-# Databases that have crashed are forgotten in this time.
-AFTER_CRASH_S = 8.0
-WRITES = 5
-WRITE_GAP_S = 0.3
+# "A message [...] is at most 1 MiB"; the rest is left for the other fields.
+VALUE_BYTES = 1024 * 1024 - 200
+SMALL_VALUE_BYTES = 10
+SESSIONS = 4
+VALUES = 100
+# memory_mb of a front machine in the site file.
+MEMORY_MB = 300
+# RULES.md, Fault: on a tenth of the machines in use, two at least.
+MACHINES = 2
+ENDS = 3
+ROUNDS = 6
+READY_S = 20.0
+
+
+async def set_values(
+    deployment: Deployment, front: Process, value_bytes: int
+) -> None:
+    """Open a session and set its values, until the connection ends."""
+    client = await Client.open(
+        deployment.record, 'client', deployment.frontend(front), HOST, KEY
+    )
+    if client is None:
+        return
+    for number in range(VALUES):
+        text = f'SET v{number} {"x" * value_bytes}'
+        if not (await client.query(text)).is_success:
+            break
+    client.close()
+
+
+async def wait_ready(deployment: Deployment, front: Process) -> None:
+    """Wait until the platform would send clients to a machine."""
+    async with asyncio.timeout(READY_S):
+        while not await deployment.is_ready(front):
+            await asyncio.sleep(0.1)
 
 
 async def scenario(deployment: Deployment, has_trouble: bool) -> list[str]:
-    """Return the writes that reached a database of the evacuated zone."""
-    record = deployment.record
+    """Return the front machines that were killed for their memory."""
     for zone in ZONES:
         deployment.add_machine('core', zone)
-    front = deployment.add_machine('front', 'b')
-    service = await deployment.add_service(SERVICE, list(ZONES))
+    for _ in range(MACHINES):
+        deployment.add_machine('front', 'a')
+    await deployment.add_service(SERVICE, list(ZONES))
     await deployment.start_all(
         manifest(
             7,
@@ -41,46 +70,29 @@
             [tenant('north', [KEY])],
         )
     )
-    await asyncio.sleep(3.0)
-    client = await Client.open(
-        record, 'client', deployment.frontend(front), HOST, KEY
-    )
-    if client is None or not (await client.query('WRITE jar 0')).is_success:
-        raise CannotRunError('the first write failed')
+    await asyncio.sleep(2.0)
+    for front in deployment.fronts:
+        deployment.watch_memory(front, MEMORY_MB)
 
-    for database in service.databases:
-        if database.zone != EVACUATED:
-            await database.stop()
-    await asyncio.sleep(AFTER_CRASH_S)
-    confirmed_s = record.now_s()
-    if has_trouble:
-        status, _ = await deployment.order(
-            'POST', f'/-/evacuations/{EVACUATED}/start'
-        )
-        if status != 200:
-            raise CannotRunError(f'the evacuation was answered with {status}')
-        confirmed_s = record.now_s()
-    await asyncio.sleep(EVACUATE_S + 2.0)
-
-    answers = []
-    for number in range(WRITES):
-        answers.append(await client.query(f'WRITE jar {number + 1}'))
-        await asyncio.sleep(WRITE_GAP_S)
-    client.close()
-    if not has_trouble:
-        return [] if answers[0].is_success else ['the primary does not serve']
+    value_bytes = VALUE_BYTES if has_trouble else SMALL_VALUE_BYTES
+    for _ in range(ROUNDS):
+        for front in deployment.fronts:
+            if front.memory_ends >= ENDS:
+                continue
+            await wait_ready(deployment, front)
+            sessions = [
+                set_values(deployment, front, value_bytes)
+                for _ in range(SESSIONS)
+            ]
+            await asyncio.gather(*sessions)
+            await asyncio.sleep(0.5)
 
-    sent_s = {answer.request_id: answer.sent_s for answer in answers}
-    zones = {database.id: database.zone for database in service.databases}
-    return [
-        f'EVAC: {ran.request_id} {ran.text!r} ran at {ran.database} in zone '
-        f'{EVACUATED}, {ran.at_s - confirmed_s:.1f} s after the evacuation '
-        'was confirmed'
-        for ran in service.runs
-        if ran.request_id in sent_s
-        and zones[ran.database] == EVACUATED
-        and ran.at_s > confirmed_s + EVACUATE_S
-    ]
+    ends = {one.name: one.memory_ends for one in deployment.fronts}
+    deployment.record.write('platform', f'killed for their memory: {ends}')
+    if sum(count >= ENDS for count in ends.values()) < MACHINES:
+        return []
+    named = ', '.join(f'{name} {count} times' for name, count in ends.items())
+    return [f'Fault: over {MEMORY_MB} MB of memory: {named}']
 
 
 if __name__ == '__main__':
--- a/review/stand_ins/client.py
+++ b/review/stand_ins/client.py
@@ -7,6 +7,9 @@
 from . import http
 from .record import Record
 
+# Characters of a statement that the record shows.
+LOGGED = 200
+
 
 @dataclass
 class Answer:
@@ -72,7 +75,9 @@
     async def query(self, text: str, timeout_s: float = 8.0) -> Answer:
         """Send a statement and wait for its whole answer."""
         answer = Answer(secrets.token_hex(8), self._record.now_s(), 0.0, [])
-        self._record.write(self._name, f'sends {answer.request_id} {text}')
+        self._record.write(
+            self._name, f'sends {answer.request_id} {text[:LOGGED]}'
+        )
         try:
             async with asyncio.timeout(timeout_s):
                 self._writer.write(
