--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,7 +1,8 @@
-"""Control promotes a database in an evacuated zone, which runs writes."""
+"""A frozen control member carries out an old order when it wakes."""
 
 import asyncio
 from pathlib import Path
+import signal
 import sys
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
@@ -16,102 +17,100 @@
 from stand_ins.deployment import route
 from stand_ins.deployment import tenant
 
-# The primary is in the first zone.
 ZONES = {'a': 'east', 'b': 'west', 'c': 'south'}
 EVACUATED = 'b'
 SERVICE = 'orders'
-HOST = 'orderdb'
+HOST = 'historydb'
 KEY = 'key-of-north'
-WRITE_GAP_S = 0.1
 EVACUATE_S = 5.0
-BEFORE_DEAF_S = EVACUATE_S + 1.0
-DEAF_BEFORE_CRASH_S = 1.0
-# The operator switches the evacuated zone off this long after the crash,
-# while the replica still receives nothing (replica_lag, for_s = 6.0).
-OFF_AFTER_CRASH_S = 4.0
-AFTER_S = 2.0
+# An unstable core stretches the bound of an evacuation by this at most.
+OUTER_S = 15.0
+# The core is stable, and machines are in touch, this long after the freeze.
+CONTACT_S = 5.0
+READ_GAP_S = 0.1
+# node_freeze of the days of the site file: for_s = 6.5 and 6.8.
+FREEZE_S = 4.5
+BETWEEN_ORDERS_S = 1.5
+AFTER_S = EVACUATE_S + OUTER_S + 6.0
 
 
-async def write_orders(
+async def read_on(
     deployment: Deployment, front: Process, answers: list[Answer]
 ) -> None:
-    """Write at regular intervals until cancelled."""
-    number = 0
+    """Read at regular intervals until cancelled."""
     while True:
-        await asyncio.sleep(WRITE_GAP_S)
+        await asyncio.sleep(READ_GAP_S)
         client = await Client.open(
-            deployment.record,
-            'client',
-            deployment.frontend(front),
-            HOST,
-            KEY,
+            deployment.record, 'client', deployment.frontend(front), HOST, KEY
         )
-        if client is None:
-            continue
-        number += 1
-        answers.append(await client.query(f'WRITE jar {number}'))
-        client.close()
+        if client is not None:
+            answers.append(await client.query('READ jar'))
+            client.close()
 
 
 async def scenario(deployment: Deployment, has_trouble: bool) -> list[str]:
-    """Return the writes that ran in the evacuated zone."""
+    """Return the reads that ran in the evacuated zone."""
     record = deployment.record
     for zone in ZONES:
         deployment.add_machine('core', zone)
-    front = deployment.add_machine('front', 'c')
+    front = deployment.add_machine('front', EVACUATED)
+    frozen = deployment.cores[-1]
     service = await deployment.add_service(SERVICE, list(ZONES))
-    primary, evacuated, replica = service.databases
     await deployment.start_all(
         manifest(
             7,
-            [route(HOST, 'primary', SERVICE, 1000)],
+            [route(HOST, 'bounded_staleness', SERVICE, 1000)],
             [SERVICE],
             [tenant('north', [KEY])],
         )
     )
     await asyncio.sleep(3.0)
     answers: list[Answer] = []
-    task = asyncio.create_task(write_orders(deployment, front, answers))
-    await asyncio.sleep(1.0)
+    task = asyncio.create_task(read_on(deployment, front, answers))
 
-    status, _ = await deployment.order(
-        'POST', f'/-/evacuations/{EVACUATED}/start'
-    )
-    if status != 200:
-        raise CannotRunError(f'the evacuation was answered with {status}')
-    confirmed_s = record.now_s()
-    await asyncio.sleep(BEFORE_DEAF_S)
+    async def order(action: str, first: int) -> float:
+        path = f'/-/evacuations/{EVACUATED}/{action}'
+        status, _ = await deployment.order('POST', path, first=first)
+        if status != 200:
+            raise CannotRunError(f'{action} was answered with {status}')
+        return record.now_s()
+
+    await order('start', 0)
+    await asyncio.sleep(EVACUATE_S + 1.0)
+    frozen_s = record.now_s()
+    if has_trouble:
+        deployment.signal(frozen, signal.SIGSTOP)
+        await asyncio.sleep(0.2)
+    # The operator picks the frozen member first, and then another one.
+    await order('stop', 2)
+    await asyncio.sleep(BETWEEN_ORDERS_S)
+    confirmed_s = await order('start', 0)
+    await asyncio.sleep(max(0.0, frozen_s + FREEZE_S - record.now_s()))
     if has_trouble:
-        record.write(replica.id, 'receives nothing from now on')
-        replica.is_deaf = True
-        await asyncio.sleep(DEAF_BEFORE_CRASH_S)
-        await primary.stop()
-        await asyncio.sleep(OFF_AFTER_CRASH_S)
-    record.write('operator', f'switches the databases in {EVACUATED} off')
-    await evacuated.stop()
-    await asyncio.sleep(AFTER_S)
+        deployment.signal(frozen, signal.SIGCONT)
+    judged_s = max(
+        confirmed_s + EVACUATE_S + OUTER_S, record.now_s() + CONTACT_S
+    )
+    await asyncio.sleep(confirmed_s + AFTER_S - record.now_s())
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
-    if not any(answer.is_success for answer in answers):
-        raise CannotRunError('no write succeeded')
 
-    ids = {answer.request_id for answer in answers if answer.is_success}
-    breaks = [
-        f'EVAC: {ran.request_id} {ran.text!r} ran at {ran.database} in zone '
-        f'{EVACUATED}, {ran.at_s - confirmed_s:.1f} s after the evacuation '
-        'was confirmed; its client got a success'
+    ids = {answer.request_id for answer in answers}
+    zones = {database.id: database.zone for database in service.databases}
+    late_s = [
+        ran.at_s - confirmed_s
         for ran in service.runs
         if ran.request_id in ids
-        and ran.database == evacuated.id
-        and ran.at_s > confirmed_s + EVACUATE_S
+        and zones[ran.database] == EVACUATED
+        and ran.at_s > judged_s
+    ]
+    if not late_s:
+        return []
+    return [
+        f'EVAC: {len(late_s)} reads ran in zone {EVACUATED}, '
+        f'{late_s[0]:.1f} to {late_s[-1]:.1f} s after its evacuation was '
+        'confirmed'
     ]
-    lost = service.log[replica.received :]
-    if breaks:
-        breaks.append(
-            f'of these, {len(lost)} are in no database that is running after '
-            f'the zone was switched off: {lost[0]} to {lost[-1]}'
-        )
-    return breaks
 
 
 if __name__ == '__main__':
