--- a/review/5/run.py
+++ b/review/5/run.py
@@ -25,7 +25,9 @@
 KEY = 'key-of-north'
 TIMEOUT_MS = 3000
 GRACE_S = 6.0
-# The gap of roll_term in the site file.
+# Machines of the site's largest zone, and roll_term of the site file:
+# share = 1.0, x = 1.0.
+FRONTS = 3
 ROLL_GAP_S = 1.3
 # The last statement before a pause, counted from SIGTERM, and the pause,
 # which is shorter than tx_idle_ms of the manifest, 3,000.
@@ -53,10 +55,14 @@
                     0 if is_ready else self._misses[front] + 1
                 )
 
-    def choose(self) -> Process:
-        """Return the machine for a new connection."""
+    def choose(self) -> Process | None:
+        """Return the machine for a new connection, None for another zone."""
         fronts = list(self._misses)
         ready = [one for one in fronts if self._misses[one] < 2]
+        if not ready:
+            # "If none of them is in rotation, the platform uses the daemons
+            # of the nearest zones."
+            return None
         # "If fewer than half of a zone's daemons are in rotation, the
         # platform uses all of that zone's daemons."
         return random.choice(
@@ -81,6 +87,8 @@
 
     async def _read(self) -> None:
         front = self._balancer.choose()
+        if front is None:
+            return
         client = await Client.open(
             self._deployment.record,
             f'reader at {front.name}',
@@ -124,7 +132,7 @@
     record = deployment.record
     for zone in ZONES:
         deployment.add_machine('core', zone)
-    first, second, _ = [deployment.add_machine('front', 'a') for _ in '123']
+    fronts = [deployment.add_machine('front', 'a') for _ in range(FRONTS)]
     service = await deployment.add_service(SERVICE, list(ZONES))
     service.work_s = lambda text: random.choice(WORKS_S)
     await deployment.start_all(
@@ -147,9 +155,10 @@
         asyncio.create_task(traffic.run()),
     ]
     await asyncio.sleep(2.0)
+    first_stop_s = record.now_s() + 1.0
     stops_s = {
-        first: record.now_s() + 1.0,
-        second: record.now_s() + 1.0 + ROLL_GAP_S,
+        front: first_stop_s + number * ROLL_GAP_S
+        for number, front in enumerate(fronts)
     }
     for front, stop_s in stops_s.items():
         tasks.append(
