--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -5,6 +5,7 @@
 import os
 from pathlib import Path
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -362,6 +363,7 @@
         for service in self.services:
             for database in service.databases:
                 await database.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(host: str, kind: str, service: str, timeout_ms: int) -> dict:
