Handle signals from the first line of a process to its end

Callers saw: a SIGHUP one second into a planned stop of a front machine closed all its connections.

Cause: wait_for_stop returned from inside the signal receiver, so from the first SIGTERM on, SIGHUP, SIGTERM and SIGINT had their default action. They had it as well from the start of the interpreter until the last listener was open. siskinsaild had no handler for SIGHUP at any time, and none at all while its modules loaded.

Change: the programs block the three signals in their first lines, and ProcessSignals of the new package siskinsail_lifecycle unblocks them once it handles them and blocks them again for the rest of the process. This works because a blocked signal stays pending: there is no moment at which it has its default action.

--- a/libs/daemon/siskinsail_daemon/_command.py
+++ b/libs/daemon/siskinsail_daemon/_command.py
@@ -1,11 +1,11 @@
 """The ``siskinsaild`` command."""
 
-import signal
 import sys
 
 import anyio
 import fire
 
+from siskinsail_lifecycle import ProcessSignals
 from siskinsail_settings import make_command
 from siskinsail_telemetry import configure_logging
 from siskinsail_telemetry import EventLog
@@ -28,11 +28,11 @@
 async def _run_until_signal(settings: DaemonSettings) -> None:
     clock = SystemClock()
     event_log = _open_event_log(settings, clock)
-    stop_requested = anyio.Event()
+    signals = ProcessSignals(event_log.reopen)
     log_event('daemon:start', is_control=settings.data_folder is not None)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_wait_for_signal, stop_requested)
-        await Daemon(settings, clock, event_log).run(stop_requested)
+        await tasks.start(signals.run)
+        await Daemon(settings, clock, event_log).run(signals.stop_requested)
         tasks.cancel_scope.cancel()
     log_event('daemon:stop')
     event_log.close()
@@ -47,15 +47,11 @@
         raise LogFileError(f'cannot open the log file: {error}') from error
 
 
-async def _wait_for_signal(stop_requested: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for received_signal in signals:
-            log_event('daemon:signal', signal=received_signal.name)
-            stop_requested.set()
-
-
 def run_daemon(settings: DaemonSettings) -> int:
-    """Run a siskinsail daemon on this entry VM until SIGTERM or SIGINT."""
+    """Run a siskinsail daemon on this entry VM until SIGTERM or SIGINT.
+
+    SIGHUP opens the log file again.
+    """
     exit_status = 0
     try:
         anyio.run(
--- /dev/null
+++ b/libs/lifecycle/siskinsail_lifecycle/__init__.py
@@ -0,0 +1,4 @@
+"""Start and stop of a process."""
+
+from ._signals import HANDLED_SIGNALS as HANDLED_SIGNALS
+from ._signals import ProcessSignals as ProcessSignals
--- a/libs/telemetry/siskinsail_telemetry/_logging.py
+++ b/libs/telemetry/siskinsail_telemetry/_logging.py
@@ -55,6 +55,16 @@
         with contextlib.suppress(OSError):
             super().doRollover()
 
+    def reopen(self) -> None:
+        """Close the file; the next write opens it again by its name."""
+        self.acquire()
+        try:
+            stream, self.stream = self.stream, None
+            if stream is not None:
+                stream.close()
+        finally:
+            self.release()
+
 
 class EventLog:
     """Eliot destination that writes JSON lines and keeps recent events.
@@ -136,6 +146,12 @@
             if active_filter.matches(event)
         ]
 
+    def reopen(self, reason: str) -> None:
+        """Open the log file again, for example after it has been moved."""
+        if isinstance(self._handler, _RotatingFileHandler):
+            self._handler.reopen()
+        log_event('log_reopened', reason=reason)
+
     def close(self) -> None:
         """Stop receiving events and close the handler."""
         eliot.remove_destination(self)
--- a/libs/telemetry/tests/test_telemetry.py
+++ b/libs/telemetry/tests/test_telemetry.py
@@ -125,6 +125,22 @@
         log.close()
 
 
+def test_a_moved_log_file_is_opened_again(tmp_path):
+    # Fails if events go to the moved file after the log was opened again.
+    log_file = LogFile(tmp_path / 'vm.jsonl')
+    event_log = configure_logging(log_file, 'vm', 'dc')
+    log_event('before')
+    log_file.path.rename(tmp_path / 'moved.jsonl')
+    event_log.reopen('moved')
+    log_event('after')
+    event_log.close()
+    moved, current = (
+        [event['message_type'] for event in read_log(path)]
+        for path in (tmp_path / 'moved.jsonl', log_file.path)
+    )
+    assert (moved, current) == (['before'], ['log_reopened', 'after'])
+
+
 def test_a_log_is_rotated_by_size_and_old_files_are_deleted(tmp_path):
     """Guards against logs that fill the disk."""
     path = tmp_path / 'e1.jsonl'
