Bound what control keeps of the past in bytes

Cause: CatalogueState kept the last 1,000 changes and the last 10,000 results with all they contain; the bounds counted items whose size the sender chooses. The log had the same mechanism (1,500 entries of up to 1 MiB on a disk of 128 MB), and so had the queue of proposals (2,000).

--- a/libs/catalogue/siskinsail_catalogue/_state.py
+++ b/libs/catalogue/siskinsail_catalogue/_state.py
@@ -3,8 +3,6 @@
 Entries are changed by compare-and-set on their versions.
 """
 
-from collections import deque
-
 import msgspec
 
 from siskinsail_types import CatalogueVersion
@@ -25,6 +23,7 @@
 from ._entry import DataCentreEntry
 from ._entry import Entry
 from ._entry import entry_kind
+from ._stored_records import StoredRecords
 from ._validation import entry_key
 from ._validation import entry_mistakes
 from ._validation import EntryKey
@@ -33,7 +32,10 @@
 from ._validation import reference_mistakes
 
 MAX_STORED_RESULTS = 10_000
+MAX_RESULTS_BYTES = 4 * 1024 * 1024
 MAX_HISTORY_RECORDS = 1_000
+# The whole history, as JSON, fits into one answer of the leader.
+MAX_HISTORY_BYTES = 2 * 1024 * 1024
 MAX_DELETED_VERSIONS = 10_000
 # Kinds that a configuration does not declare; only their placement changes.
 _KINDS_WITH_PLACEMENT = frozenset(
@@ -45,8 +47,8 @@
 class _Snapshot(msgspec.Struct):
     version: CatalogueVersion
     entries: list[Entry]
-    answers: list[tuple[str, ChangeResult]]
-    history: list[HistoryRecord]
+    answers: list[tuple[str, msgspec.Raw]]
+    history: list[msgspec.Raw]
     deleted: list[EntryReference]
     configuration_version: ConfigurationVersion = ConfigurationVersion(0)
     document: bytes = b''
@@ -54,6 +56,8 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Snapshot)
+_result_decoder = msgspec.msgpack.Decoder(ChangeResult)
+_history_decoder = msgspec.msgpack.Decoder(HistoryRecord)
 
 
 class CatalogueState:
@@ -66,8 +70,8 @@
     def __init__(self) -> None:
         self._version = CatalogueVersion(0)
         self._entries: dict[EntryKey, Entry] = {}
-        self._results: dict[str, ChangeResult] = {}
-        self._history: deque[HistoryRecord] = deque(maxlen=MAX_HISTORY_RECORDS)
+        self._results = _empty_results()
+        self._history = _empty_history()
         # Last versions of deleted entries. An entry that is created again
         # continues from its last version, so that an operator who knows only
         # the deleted entry gets a version conflict.
@@ -97,12 +101,20 @@
 
     @property
     def history(self) -> tuple[HistoryRecord, ...]:
-        """The last ``MAX_HISTORY_RECORDS`` accepted changes, oldest first."""
-        return tuple(self._history)
+        """The last accepted changes, oldest first.
+
+        There are at most ``MAX_HISTORY_RECORDS``, and no more than fit into
+        ``MAX_HISTORY_BYTES`` bytes.
+        """
+        return tuple(
+            _history_decoder.decode(record)
+            for _, record in self._history.items()
+        )
 
     def result(self, request_id: str) -> ChangeResult | None:
         """Return the result of a request, None if it is no longer stored."""
-        return self._results.get(request_id)
+        stored = self._results.get(request_id)
+        return None if stored is None else _result_decoder.decode(stored)
 
     def apply(self, change: CatalogueChange) -> ChangeResult:
         """Apply a change atomically, or refuse it.
@@ -114,13 +126,11 @@
             changed and the first result is returned, whatever the change
             contains.
         """
-        previous = self._results.get(change.request_id)
+        previous = self.result(change.request_id)
         if previous is not None:
             return previous
         result = self._apply_new_change(change)
-        self._results[change.request_id] = result
-        if len(self._results) > MAX_STORED_RESULTS:
-            del self._results[next(iter(self._results))]
+        self._results.add(change.request_id, _encoder.encode(result))
         return result
 
     def apply_configuration(
@@ -182,8 +192,11 @@
             _Snapshot(
                 self._version,
                 list(self._entries.values()),
-                list(self._results.items()),
-                list(self._history),
+                [
+                    (request_id, msgspec.Raw(record))
+                    for request_id, record in self._results.items()
+                ],
+                [msgspec.Raw(record) for _, record in self._history.items()],
                 [
                     EntryReference(kind, name, version)
                     for (kind, name), version in self._deleted.items()
@@ -202,10 +215,15 @@
             If ``data`` is not a valid snapshot; the state is then unchanged.
         """
         stored = _decoder.decode(data)
+        results, history = _empty_results(), _empty_history()
+        for request_id, result in stored.answers:
+            results.add(request_id, bytes(result))
+        for record in stored.history:
+            history.add(_history_decoder.decode(record).version, bytes(record))
         self._version = stored.version
         self._entries = {entry_key(entry): entry for entry in stored.entries}
-        self._results = dict(stored.answers)
-        self._history = deque(stored.history, maxlen=MAX_HISTORY_RECORDS)
+        self._results = results
+        self._history = history
         self._deleted = {
             (reference.kind, reference.name): reference.version
             for reference in stored.deleted
@@ -305,16 +323,15 @@
             self._deleted[key] = reference.version
         while len(self._deleted) > MAX_DELETED_VERSIONS:
             del self._deleted[next(iter(self._deleted))]
-        self._history.append(
-            HistoryRecord(
-                self._version,
-                change.request_id,
-                change.operator,
-                change.wall_s,
-                puts,
-                change.deletes,
-            )
+        record = HistoryRecord(
+            self._version,
+            change.request_id,
+            change.operator,
+            change.wall_s,
+            puts,
+            change.deletes,
         )
+        self._history.add(self._version, _encoder.encode(record))
 
     def _reject(
         self, error: ChangeError, mistakes: list[Mistake]
@@ -329,6 +346,14 @@
         return ChangeResult(self._version, error, message, mistakes=reported)
 
 
+def _empty_results() -> StoredRecords[str]:
+    return StoredRecords(MAX_STORED_RESULTS, MAX_RESULTS_BYTES)
+
+
+def _empty_history() -> StoredRecords[int]:
+    return StoredRecords(MAX_HISTORY_RECORDS, MAX_HISTORY_BYTES)
+
+
 def _change_mistakes(
     change: CatalogueChange, entries: dict[EntryKey, Entry]
 ) -> list[Mistake]:
--- a/libs/catalogue/tests/test_state.py
+++ b/libs/catalogue/tests/test_state.py
@@ -8,6 +8,7 @@
 from siskinsail_catalogue import CatalogueChange
 from siskinsail_catalogue import CatalogueState
 from siskinsail_catalogue import ChangeError
+from siskinsail_catalogue import Configuration
 from siskinsail_catalogue import decode_change_request
 from siskinsail_catalogue import EntryReference
 from siskinsail_catalogue import KeyEntry
@@ -18,6 +19,9 @@
 from siskinsail_types import EntryKind
 from siskinsail_types import RouteMode
 
+# Target for everything but the entries in force.
+SNAPSHOT_LIMIT_BYTES = 8 * 1024 * 1024
+
 
 def _account(version: int = 0, rate: float = 5.0, **other) -> AccountEntry:
     fields = {'owner': 'o', 'name': 'a', 'burst': 10.0, **other}
@@ -140,6 +144,71 @@
     assert state.history[-1].version == state.version
 
 
+def _replace_configurations(state, number):
+    entries = tuple(
+        _account(name=f'account-{name:020}', rate=1.0 + number)
+        for name in range(1000)
+    )
+    configuration = Configuration(number + 1, entries, b'')
+    assert state.apply_configuration(configuration, 1.0).error is None
+
+
+def _apply_large_changes(state, number):
+    entries = tuple(
+        _account(version=number, name=f'account-{name:020}')
+        for name in range(1000)
+    )
+    assert state.apply(_put(f'r{number}', *entries)).error is None
+
+
+def _apply_large_mistakes(state, number):
+    entry = _account(name='x' * 500_000, owner='')
+    assert state.apply(_put(f'r{number}', entry)).error is not None
+
+
+def _apply_large_request_ids(state, number):
+    request_id = f'{number:0500000}'
+    assert state.apply(_put(request_id, _account())).error is not None
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        _replace_configurations,
+        _apply_large_changes,
+        _apply_large_mistakes,
+        _apply_large_request_ids,
+    ],
+)
+def test_results_and_history_are_bounded_in_bytes(change):
+    # Fails if hundreds of large changes make control outgrow its memory.
+    state = CatalogueState()
+    for number in range(100):
+        change(state, number)
+    entries = len(msgspec.msgpack.encode(state.entries))
+    assert len(state.snapshot()) < entries + SNAPSHOT_LIMIT_BYTES
+    restored = CatalogueState()
+    restored.restore(state.snapshot())
+    assert restored.snapshot() == state.snapshot()
+    assert restored.history == state.history
+
+
+def test_a_snapshot_with_more_than_the_bounds_can_be_restored():
+    # Fails if a member cannot start from a snapshot that was written before
+    # the bounds existed.
+    state = CatalogueState()
+    _apply_large_changes(state, 0)
+    stored = msgspec.msgpack.decode(state.snapshot())
+    (record,) = stored['history']
+    stored['history'] = [{**record, 'version': n} for n in range(1, 61)]
+    restored = CatalogueState()
+    restored.restore(msgspec.msgpack.encode(stored))
+    versions = [one.version for one in restored.history]
+    assert versions == list(range(61 - len(versions), 61))
+    assert 0 < len(versions) < 60
+    assert len(restored.snapshot()) < len(state.snapshot()) * 60
+
+
 def test_all_entries_that_cannot_be_decoded_are_reported():
     body = msgspec.json.encode(
         {
--- a/libs/consensus/siskinsail_consensus/_leader.py
+++ b/libs/consensus/siskinsail_consensus/_leader.py
@@ -73,10 +73,14 @@
             and not self._is_transferring_leadership
         )
 
-    @property
-    def queue_length(self) -> int:
-        """Number of proposals that wait to be appended."""
-        return len(self._queue)
+    def can_enqueue(self, command: bytes) -> bool:
+        """Tell whether the queue has room for another command."""
+        settings = self._state.settings
+        queued_bytes = sum(len(one.command) for one in self._queue)
+        return (
+            len(self._queue) < settings.max_queued_proposals
+            and queued_bytes + len(command) <= settings.max_queued_bytes
+        )
 
     def has_lease(self) -> bool:
         """Tell whether a majority acknowledged recent heartbeats.
--- a/libs/consensus/siskinsail_consensus/_replica.py
+++ b/libs/consensus/siskinsail_consensus/_replica.py
@@ -248,7 +248,7 @@
             return Failure(
                 ProposalRefusedError('the command exceeds the size limit')
             )
-        if leader.queue_length >= self._settings.max_queued_proposals:
+        if not leader.can_enqueue(command):
             return Failure(ProposalRefusedError('the proposal queue is full'))
         proposal = Proposal(command)
         leader.enqueue(proposal)
--- a/libs/consensus/siskinsail_consensus/_settings.py
+++ b/libs/consensus/siskinsail_consensus/_settings.py
@@ -63,11 +63,14 @@
     snapshot_interval_entries, trailing_entries : int
         Applied entries between two snapshots, and entries covered by a
         snapshot that stay in the log for members that lag slightly.
+    snapshot_interval_bytes, trailing_bytes : int
+        The same in bytes of the entries; the first bound that is reached
+        counts. Together they bound the log on disk and in memory.
     append_batch_bytes, snapshot_chunk_bytes, max_command_bytes : int
         Size limits of an append, of a snapshot chunk and of a command in
         bytes, all well below the largest peer frame of 4 MiB.
-    max_queued_proposals : int
-        Number of proposals that may wait to be appended.
+    max_queued_proposals, max_queued_bytes : int
+        Number of proposals that may wait to be appended, and their size.
     max_snapshot_bytes : int
         Size limit of a snapshot received from a leader, in bytes.
     resolve_address : callable
@@ -104,10 +107,13 @@
     leadership_transfer_timeout_s: float = 1.0
     snapshot_interval_entries: int = 1000
     trailing_entries: int = 500
+    snapshot_interval_bytes: int = 8 * 1024 * 1024
+    trailing_bytes: int = 4 * 1024 * 1024
     append_batch_bytes: int = 1024 * 1024
     snapshot_chunk_bytes: int = 1024 * 1024
     max_command_bytes: int = 1024 * 1024
     max_queued_proposals: int = 2000
+    max_queued_bytes: int = 16 * 1024 * 1024
     max_snapshot_bytes: int = 256 * 1024 * 1024
     resolve_address: AddressResolver = resolve_no_address
     target_voters: int | None = None
--- a/libs/consensus/siskinsail_consensus/_state.py
+++ b/libs/consensus/siskinsail_consensus/_state.py
@@ -159,6 +159,8 @@
         )
         self.commit_index = 0
         self.applied_index = 0
+        # Size of the applied entries that no snapshot covers.
+        self._bytes_since_snapshot = 0
         self._memberships = [(0, Membership.decode(journal.metadata.founding))]
         if journal.snapshot is not None:
             self._restore(journal.snapshot)
@@ -375,6 +377,7 @@
         if record.data[:1] == COMMAND:
             output = self._state_machine.apply(record.index, record.data[1:])
         self.applied_index = record.index
+        self._bytes_since_snapshot += len(record.data)
         proposal = self.pending_proposals.pop(record.index, None)
         if proposal is None:
             return
@@ -388,9 +391,10 @@
     def _is_snapshot_due(self) -> bool:
         snapshot = self.journal.snapshot
         last = 0 if snapshot is None else snapshot.index
+        settings = self.settings
         return (
-            self.applied_index - last
-            >= self.settings.snapshot_interval_entries
+            self.applied_index - last >= settings.snapshot_interval_entries
+            or self._bytes_since_snapshot >= settings.snapshot_interval_bytes
         )
 
     async def _compact(self) -> None:
@@ -410,7 +414,9 @@
                         msgspec.msgpack.encode(stored),
                     ),
                     self.settings.trailing_entries,
+                    self.settings.trailing_bytes,
                 )
+                self._bytes_since_snapshot = 0
 
     def membership_at(self, index: int) -> Membership:
         """Return the membership in effect after entry ``index``."""
@@ -426,6 +432,7 @@
         self._state_machine.restore(stored.machine)
         self.applied_index = snapshot.index
         self.commit_index = snapshot.index
+        self._bytes_since_snapshot = 0
 
     def _record_membership(self, record: Record) -> None:
         if record.data[:1] == MEMBERSHIP:
--- a/libs/consensus/tests/cluster.py
+++ b/libs/consensus/tests/cluster.py
@@ -47,6 +47,14 @@
         self.commands = data.split(b'\n') if data else []
 
 
+class LastCommandStateMachine(ListStateMachine):
+    """State machine that keeps only the last command."""
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.commands.clear()
+        return super().apply(index, command)
+
+
 async def eventually(
     condition: Callable[[], object], description: str
 ) -> None:
@@ -76,8 +84,13 @@
     """Starts and stops replicas, wipes their disks and injects faults."""
 
     def __init__(
-        self, tasks: anyio.abc.TaskGroup, folder: Path, **settings: object
+        self,
+        tasks: anyio.abc.TaskGroup,
+        folder: Path,
+        machine_type: type[ListStateMachine] = ListStateMachine,
+        **settings: object,
     ) -> None:
+        self._machine_type = machine_type
         self._tasks = tasks
         self._folder = folder
         self._settings = settings
@@ -202,7 +215,7 @@
         network = self._network(name)
         calls = self.calls[name] = Counter()
         server = CountingServer(calls, network, SECRET, VmId(name))
-        state_machine = ListStateMachine()
+        state_machine = self._machine_type()
         replica = Replica(
             ConsensusSettings(
                 VmId(name),
--- a/libs/consensus/tests/test_replica.py
+++ b/libs/consensus/tests/test_replica.py
@@ -18,6 +18,7 @@
 
 from .cluster import Cluster
 from .cluster import eventually
+from .cluster import LastCommandStateMachine
 from .cluster import NAMES
 
 pytestmark = pytest.mark.anyio
@@ -332,6 +333,56 @@
         await cluster.wait_for_commands([*commands, b'end'])
 
 
+async def test_large_entries_fill_neither_disk_nor_memory(tmp_path: Path):
+    # Fails if the log grows by the number of entries, whatever their size:
+    # members then outgrow their memory, and again at each start.
+    size, limit = 500_000, 4_000_000
+    settings = {
+        'snapshot_interval_bytes': limit // 4,
+        'trailing_bytes': limit // 4,
+    }
+    async with _cluster(
+        tmp_path, machine_type=LastCommandStateMachine, **settings
+    ) as cluster:
+        for number in range(20):
+            await cluster.propose(b'%d' % number * size)
+
+        def are_logs_small() -> bool:
+            return all(
+                (cluster.folder(name) / 'log').stat().st_size < limit
+                for name in NAMES
+            )
+
+        await eventually(are_logs_small, 'compacted logs')
+        for name in NAMES:
+            await cluster.stop(name)
+        for name in NAMES:
+            await cluster.start(name)
+        await cluster.propose(b'end')
+        await cluster.wait_for_commands([b'end'])
+
+
+async def test_queued_proposals_are_bounded_in_bytes(tmp_path: Path):
+    # Fails if waiting commands fill the memory of the leader.
+    async with _cluster(tmp_path, max_queued_bytes=1000) as cluster:
+        await cluster.propose(b'1')
+        replica = cluster.replicas[await cluster.leader()]
+        results: list[object] = []
+
+        async def propose() -> None:
+            results.append(await replica.propose(b'x' * 400, 5.0))
+
+        # All are queued before the task that appends them runs.
+        async with anyio.create_task_group() as tasks:
+            for _ in range(5):
+                tasks.start_soon(propose)
+        refused = [one for one in results if one.value_or(None) is None]
+        assert len(refused) == 3
+        assert all(
+            isinstance(one.failure(), ProposalRefusedError) for one in refused
+        )
+
+
 async def test_a_leadership_transfer_needs_no_election_timeout(
     tmp_path: Path,
 ):
--- a/libs/journal/siskinsail_journal/_journal.py
+++ b/libs/journal/siskinsail_journal/_journal.py
@@ -216,7 +216,9 @@
         kept = self._records[: last_index - self._base.index]
         await self._replace_log(self._base, kept)
 
-    async def compact(self, snapshot: Snapshot, trailing_records: int) -> None:
+    async def compact(
+        self, snapshot: Snapshot, trailing_records: int, trailing_bytes: int
+    ) -> None:
         """Store a snapshot, then remove the records covered by it.
 
         Parameters
@@ -225,14 +227,31 @@
             State after a record of this journal.
         trailing_records : int
             Number of covered records to keep for members that lag.
+        trailing_bytes : int
+            Size of the covered records to keep at the most, in bytes.
         """
         await self._store_snapshot(snapshot)
-        index = max(self._base.index, snapshot.index - trailing_records)
+        index = self._first_kept(
+            snapshot.index, trailing_records, trailing_bytes
+        )
         base = _LogBase(index, self.term_at(index))
         await self._replace_log(
             base, self._records[index - self._base.index :]
         )
 
+    def _first_kept(
+        self, covered: int, trailing_records: int, trailing_bytes: int
+    ) -> int:
+        """Return the index before the first covered record to keep."""
+        oldest = max(self._base.index, covered - trailing_records)
+        index, size = covered, 0
+        while index > oldest:
+            size += len(self.record(index).data)
+            if size > trailing_bytes:
+                break
+            index -= 1
+        return index
+
     async def install_snapshot(self, snapshot: Snapshot) -> None:
         """Store a snapshot of another member and remove all records."""
         await self._store_snapshot(snapshot)
--- a/libs/journal/tests/test_journal.py
+++ b/libs/journal/tests/test_journal.py
@@ -15,6 +15,7 @@
 
 pytestmark = pytest.mark.anyio
 FOLDER = Path('/data/journal')
+UNLIMITED_BYTES = 1 << 40
 
 
 class _MemoryFile:
@@ -142,6 +143,31 @@
             _open(disk)
 
 
+@pytest.mark.parametrize(
+    ('trailing_records', 'trailing_bytes', 'first_kept'),
+    [
+        (4, UNLIMITED_BYTES, 3),
+        (4, 250, 5),
+        (4, 99, 7),
+        (0, UNLIMITED_BYTES, 7),
+        (100, UNLIMITED_BYTES, 1),
+    ],
+)
+async def test_records_for_members_that_lag_are_bounded(
+    trailing_records, trailing_bytes, first_kept
+):
+    # Fails if records of large commands fill disk and memory.
+    disk = MemoryDisk()
+    journal = _open(disk)
+    await journal.append([Record(n, 1, b'x' * 100) for n in range(1, 9)])
+    await journal.compact(
+        Snapshot(6, 1, b'state'), trailing_records, trailing_bytes
+    )
+    assert journal.base_index + 1 == first_kept
+    assert _open(disk).base_index + 1 == first_kept
+    assert journal.last_index == 8
+
+
 @pytest.mark.parametrize('name', ['snapshot', 'metadata', 'log'])
 @pytest.mark.parametrize('is_missing', [True, False])
 async def test_a_lost_or_damaged_file_is_an_error(name, is_missing):
@@ -151,7 +177,7 @@
     journal = _open(disk)
     await journal.save_metadata(Metadata('disk-1', 3, 'b', 'cluster'))
     await journal.append(_records(1, 9))
-    await journal.compact(Snapshot(6, 1, b'state'), trailing_records=2)
+    await journal.compact(Snapshot(6, 1, b'state'), 2, UNLIMITED_BYTES)
     content = disk.files.pop(FOLDER / name)[0]
     if not is_missing:
         disk.files[FOLDER / name] = [content[:-1], content[:-1]]
@@ -167,7 +193,7 @@
     lambda j: j.append(_records(5, 8, term=2)),
     lambda j: j.truncate(6),
     lambda j: j.append(_records(7, 9, term=3)),
-    lambda j: j.compact(Snapshot(6, 2, b'six'), trailing_records=2),
+    lambda j: j.compact(Snapshot(6, 2, b'six'), 2, UNLIMITED_BYTES),
     lambda j: j.install_snapshot(Snapshot(20, 4, b'twenty')),
     lambda j: j.append(_records(21, 23, term=4)),
 ]
@@ -238,7 +264,7 @@
     journal = Journal(settings, lambda: 'disk-1')
     await journal.append(_records(1, 9))
     await journal.truncate(7)
-    await journal.compact(Snapshot(5, 1, b'five'), trailing_records=1)
+    await journal.compact(Snapshot(5, 1, b'five'), 1, UNLIMITED_BYTES)
     await journal.append(_records(8, 10, term=2))
     journal.close()
     journal = Journal(settings, lambda: 'disk-2')
