Bound recent events in bytes

Cause: recent events were bounded by their number, and an event can quote what was sent, such as the reason of a refused configuration.

Change: recent events are bounded by the size of their lines as well, 16 MiB.

Evidence: two of three rows of test_recent_events_are_bounded_in_number_and_bytes need the new bound, which did not exist before.

--- a/libs/telemetry/siskinsail_telemetry/_logging.py
+++ b/libs/telemetry/siskinsail_telemetry/_logging.py
@@ -23,6 +23,7 @@
 
 # About one minute of refusals and writes of one daemon.
 _MAX_RECENT_EVENTS = 10_000
+_MAX_RECENT_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -83,8 +84,8 @@
         Data centre of the VM.
     clock : Clock
         Clock for the times of the events.
-    max_recent_events : int
-        Number of recent events kept in memory.
+    max_recent_events, max_recent_bytes : int
+        Number of recent events kept in memory, and their size as lines.
     """
 
     def __init__(
@@ -94,6 +95,7 @@
         data_centre: str,
         clock: Clock,
         max_recent_events: int = _MAX_RECENT_EVENTS,
+        max_recent_bytes: int = _MAX_RECENT_BYTES,
     ) -> None:
         self._handler = handler
         # One record is reused: a new record per event would make logging
@@ -106,9 +108,11 @@
             'process': f'{os.getpid()}-{int(clock.wall_s() * 1000)}',
         }
         self._sequence = 0
-        self._recent_events: deque[dict[str, Any]] = deque(
-            maxlen=max_recent_events
-        )
+        self._max_recent_events = max_recent_events
+        self._max_recent_bytes = max_recent_bytes
+        # Each event with the size of its line.
+        self._recent_events: deque[tuple[dict[str, Any], int]] = deque()
+        self._recent_bytes = 0
         self._encoder = msgspec.json.Encoder(enc_hook=str)
 
     def __call__(self, message: dict[str, Any]) -> None:
@@ -130,11 +134,22 @@
                 for name, value in fields.items()
             },
         }
-        self._recent_events.append(event)
-        line = self._encoder.encode(event).decode()
-        self._record.msg = line
+        line = self._encoder.encode(event)
+        self._keep(event, len(line))
+        self._record.msg = line.decode()
         self._handler.handle(self._record)
 
+    def _keep(self, event: dict[str, Any], size_bytes: int) -> None:
+        """Keep an event in memory instead of the oldest ones."""
+        self._recent_events.append((event, size_bytes))
+        self._recent_bytes += size_bytes
+        while (
+            len(self._recent_events) > self._max_recent_events
+            or self._recent_bytes > self._max_recent_bytes
+        ):
+            _, removed_bytes = self._recent_events.popleft()
+            self._recent_bytes -= removed_bytes
+
     def events(
         self, event_filter: TimelineFilter | None = None
     ) -> list[dict[str, Any]]:
@@ -142,7 +157,7 @@
         active_filter = event_filter or TimelineFilter()
         return [
             event
-            for event in self._recent_events
+            for event, _ in self._recent_events
             if active_filter.matches(event)
         ]
 
--- a/libs/telemetry/tests/test_telemetry.py
+++ b/libs/telemetry/tests/test_telemetry.py
@@ -77,6 +77,33 @@
     assert json.loads(stream.getvalue())['error'] == 'odd'
 
 
+@pytest.mark.parametrize(
+    ('limits', 'kept'),
+    [
+        ({'max_recent_events': 3}, ['r7', 'r8', 'r9']),
+        ({'max_recent_bytes': 25_000}, ['r8', 'r9']),
+        ({'max_recent_bytes': 5_000}, []),
+    ],
+)
+def test_recent_events_are_bounded_in_number_and_bytes(limits, kept):
+    # Fails if events with long texts, such as the reason of a refusal that
+    # quotes what was sent, fill the memory.
+    log = EventLog(
+        logging.StreamHandler(io.StringIO()),
+        'e1',
+        'dc',
+        ManualClock(),
+        **limits,
+    )
+    eliot.add_destinations(log)
+    try:
+        for number in range(10):
+            log_event('refused', request=f'r{number}', reason='x' * 10_000)
+    finally:
+        eliot.remove_destination(log)
+    assert [event['request'] for event in log.events()] == kept
+
+
 def _event(time, vm, sequence, **fields):
     return {'time': time, 'vm': vm, 'sequence': sequence, **fields}
 
