Carry out an order only if no newer one was accepted and its sender waits

Operators saw: a control member that was frozen while a data centre was taken back and evacuated again carried out the old stop when it woke.

Cause: an order to place a data centre named neither version nor sequence, so the last one to be applied won, and a member forwarded whatever it found in its sockets, however long it had waited there. The notice of a database that has stopped had the same cause: it named only an id, which may run again.

Change: OrderClient reads the number of the last accepted order from the leader, then checks that the sender still waits (its connection is open and the process has not just resumed after a pause), and the leader refuses the order if another one was accepted since. The notice of a database names the incarnation that was read before the same check.

--- a/libs/catalogue/siskinsail_catalogue/_state.py
+++ b/libs/catalogue/siskinsail_catalogue/_state.py
@@ -10,6 +10,7 @@
 from siskinsail_types import DataCentreId
 from siskinsail_types import EntryKind
 from siskinsail_types import EntryVersion
+from siskinsail_types import OrderNumber
 from siskinsail_types import Placement
 
 from ._change import CatalogueChange
@@ -52,6 +53,7 @@
     deleted: list[EntryReference]
     configuration_version: ConfigurationVersion = ConfigurationVersion(0)
     document: bytes = b''
+    placement_orders: dict[DataCentreId, OrderNumber] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -78,6 +80,8 @@
         self._deleted: dict[EntryKey, EntryVersion] = {}
         self._configuration_version = ConfigurationVersion(0)
         self._document = b''
+        # Numbers of the last accepted placement orders.
+        self._placement_orders: dict[DataCentreId, OrderNumber] = {}
 
     @property
     def configuration_version(self) -> ConfigurationVersion:
@@ -164,18 +168,49 @@
             )
         return ChangeResult(self._version)
 
+    def last_placement_order(self, name: DataCentreId) -> OrderNumber:
+        """Return the number of the last accepted order, 0 for none."""
+        return self._placement_orders.get(name, OrderNumber(0))
+
     def set_placement(
-        self, name: DataCentreId, placement: Placement, wall_s: float
+        self,
+        name: DataCentreId,
+        placement: Placement,
+        wall_s: float,
+        last_order: OrderNumber | None = None,
     ) -> ChangeResult:
-        """Set the placement of a data centre; the operation is idempotent."""
+        """Set the placement of a data centre.
+
+        An order that changes nothing creates no version of the catalogue,
+        but outdates the orders that were issued before it.
+
+        Parameters
+        ----------
+        last_order : OrderNumber or None
+            Number of the last order that the sender knows of. The order is
+            refused if another one has been accepted since. Logs written by
+            earlier releases contain orders without it.
+        """
+        accepted_order = self.last_placement_order(name)
+        if last_order not in (None, accepted_order):
+            mistake = Mistake(
+                EntryKind.DATA_CENTRE.value,
+                name,
+                'placement',
+                f'order {accepted_order} was accepted after {last_order}',
+            )
+            return self._reject(ChangeError.VERSION_CONFLICT, [mistake])
         key = (EntryKind.DATA_CENTRE, name)
         current = self._entries.get(key)
         entry = DataCentreEntry(
             name=name, placement=placement, owner=_PLACEMENT_OWNER
         )
-        mistakes = entry_mistakes(entry)
+        mistakes = entry_mistakes(entry) + _size_mistakes(
+            {**self._entries, key: entry}
+        )
         if mistakes:
             return self._reject(ChangeError.INVALID, mistakes)
+        self._placement_orders[name] = OrderNumber(accepted_order + 1)
         if isinstance(current, DataCentreEntry):
             entry = msgspec.structs.replace(current, placement=placement)
         if entry != current:
@@ -203,6 +238,7 @@
                 ],
                 self._configuration_version,
                 self._document,
+                self._placement_orders,
             )
         )
 
@@ -230,6 +266,7 @@
         }
         self._configuration_version = stored.configuration_version
         self._document = stored.document
+        self._placement_orders = dict(stored.placement_orders)
 
     def _apply_new_change(self, change: CatalogueChange) -> ChangeResult:
         conflicts = self._conflicts(change)
@@ -365,11 +402,13 @@
 
 def _catalogue_mistakes(entries: dict[EntryKey, Entry]) -> list[Mistake]:
     """Return the mistakes of the catalogue as a whole."""
-    mistakes = list(reference_mistakes(entries))
-    if len(entries) > MAX_ENTRIES:
-        message = f'more than {MAX_ENTRIES} entries'
-        mistakes.append(Mistake('', '', '', message))
-    return mistakes
+    return list(reference_mistakes(entries)) + _size_mistakes(entries)
+
+
+def _size_mistakes(entries: dict[EntryKey, Entry]) -> list[Mistake]:
+    if len(entries) <= MAX_ENTRIES:
+        return []
+    return [Mistake('', '', '', f'more than {MAX_ENTRIES} entries')]
 
 
 def _configuration_mistakes(
--- a/libs/catalogue/tests/test_configuration.py
+++ b/libs/catalogue/tests/test_configuration.py
@@ -3,6 +3,7 @@
 import pytest
 
 from siskinsail_catalogue import AccountEntry
+from siskinsail_catalogue import CatalogueChange
 from siskinsail_catalogue import CatalogueState
 from siskinsail_catalogue import ChangeError
 from siskinsail_catalogue import Configuration
@@ -10,6 +11,7 @@
 from siskinsail_catalogue import decode_configuration
 from siskinsail_catalogue import encode_configuration
 from siskinsail_catalogue import KeyEntry
+from siskinsail_catalogue import MAX_ENTRIES
 from siskinsail_types import Placement
 from siskinsail_types import ProtocolError
 
@@ -85,6 +87,51 @@
     assert centre.placement is Placement.IN
 
 
+@pytest.mark.parametrize(
+    ('orders', 'last_order', 'is_accepted'),
+    [
+        ((), 0, True),
+        ((Placement.OUT,), 1, True),
+        ((Placement.OUT,), 0, False),
+        ((Placement.OUT, Placement.IN), 1, False),
+        ((Placement.OUT, Placement.OUT), 1, False),
+        ((Placement.OUT, Placement.OUT), 2, True),
+        ((Placement.OUT,), None, True),
+    ],
+)
+def test_an_order_is_refused_if_another_was_accepted_since(
+    orders, last_order, is_accepted
+):
+    # Fails if a late order undoes a newer one, also after a restart.
+    state = CatalogueState()
+    for placement in orders:
+        state.set_placement('dc1', placement, 1.0)
+    restored = CatalogueState()
+    restored.restore(state.snapshot())
+    for one in (state, restored):
+        before = one.entries
+        result = one.set_placement('dc1', Placement.IN, 2.0, last_order)
+        if is_accepted:
+            assert result.error is None
+        else:
+            assert result.error is ChangeError.VERSION_CONFLICT
+            assert one.entries == before
+
+
+def test_orders_for_any_names_do_not_fill_the_catalogue():
+    # Fails if each odd name of a data centre adds an entry without limit.
+    state = CatalogueState()
+    entries = tuple(
+        DataCentreEntry(owner='o', name=f'dc{number}')
+        for number in range(MAX_ENTRIES)
+    )
+    assert state.apply(CatalogueChange('r', 'o', 1.0, entries)).error is None
+    result = state.set_placement('odd', Placement.OUT, 1.0, 0)
+    assert result.error is ChangeError.INVALID
+    assert state.last_placement_order('odd') == 0
+    assert state.set_placement('dc1', Placement.OUT, 1.0, 0).error is None
+
+
 @pytest.mark.parametrize(
     'configuration',
     [
--- a/libs/control/siskinsail_control/__init__.py
+++ b/libs/control/siskinsail_control/__init__.py
@@ -27,14 +27,15 @@
 from ._loan_ports import TokenLender as TokenLender
 from ._membership import Membership as Membership
 from ._messages import Announcement as Announcement
-from ._messages import Departure as Departure
 from ._messages import OperatorAnswer as OperatorAnswer
 from ._messages import OperatorRequest as OperatorRequest
-from ._messages import PlacementRequest as PlacementRequest
 from ._messages import ReportRequest as ReportRequest
 from ._metrics import ControlMetrics as ControlMetrics
 from ._operator_api import OperatorApi as OperatorApi
 from ._operator_api import OperatorSettings as OperatorSettings
+from ._orders import OrderClient as OrderClient
+from ._orders import Sender as Sender
+from ._orders import SenderGoneError as SenderGoneError
 from ._replica_port import ControlReplica as ControlReplica
 from ._service import ControlService as ControlService
 from ._settings import ControlSettings as ControlSettings
--- a/libs/control/siskinsail_control/_commands.py
+++ b/libs/control/siskinsail_control/_commands.py
@@ -7,6 +7,7 @@
 from siskinsail_types import DatabaseId
 from siskinsail_types import DataCentreId
 from siskinsail_types import LogIndex
+from siskinsail_types import OrderNumber
 from siskinsail_types import Placement
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
@@ -31,11 +32,18 @@
 
 
 class PlaceDataCentre(msgspec.Struct, frozen=True, tag=True):
-    """Take a data centre out of service or back into service."""
+    """Take a data centre out of service or back into service.
+
+    Parameters
+    ----------
+    last_order : OrderNumber or None
+        See ``CatalogueState.set_placement``.
+    """
 
     name: DataCentreId
     placement: Placement
     wall_s: float
+    last_order: OrderNumber | None = None
 
 
 class RegisterGroup(msgspec.Struct, frozen=True, tag=True):
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -209,7 +209,9 @@
         departed = [
             departure.database
             for departure in request.departed
-            if membership.mark_departed(departure.database)
+            if membership.mark_departed(
+                departure.database, departure.incarnation
+            )
         ]
         if departed:
             log_event('control_databases_departed', databases=departed)
--- a/libs/control/siskinsail_control/_membership.py
+++ b/libs/control/siskinsail_control/_membership.py
@@ -154,11 +154,15 @@
         record.published = server
         return True
 
-    def mark_departed(self, database: DatabaseId) -> bool:
-        """Remove a stopped database; return whether it was a member."""
-        record = self._records.pop(database, None)
-        if record is None:
+    def mark_departed(self, database: DatabaseId, incarnation: int) -> bool:
+        """Remove a stopped database; return whether it was a member.
+
+        A notice that was delayed must not remove a later incarnation.
+        """
+        record = self._records.get(database)
+        if record is None or record.latest.incarnation != incarnation:
             return False
+        del self._records[database]
         self._remove_address(record.latest)
         self._departed[database] = record.latest
         if len(self._departed) > MAX_KNOWN_DATABASES:
@@ -286,7 +290,7 @@
         """Remove earlier databases at the address of an announcement."""
         for other in self._others_at_address(server):
             if other.incarnation < server.incarnation:
-                self.mark_departed(other.database)
+                self.mark_departed(other.database, other.incarnation)
 
     def _others_at_address(self, server: BackendServer) -> list[BackendServer]:
         return [
--- a/libs/control/siskinsail_control/_messages.py
+++ b/libs/control/siskinsail_control/_messages.py
@@ -19,6 +19,7 @@
 from siskinsail_types import DatabaseRole
 from siskinsail_types import DataCentreId
 from siskinsail_types import LogIndex
+from siskinsail_types import OrderNumber
 from siskinsail_types import Placement
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
@@ -91,9 +92,16 @@
 
 
 class Departure(_Message, frozen=True):
-    """Notice that a database was stopped as planned."""
+    """Notice that a database was stopped as planned.
+
+    Parameters
+    ----------
+    incarnation : int
+        Incarnation that was stopped. A later one at the same name goes on.
+    """
 
     database: DatabaseId
+    incarnation: int
 
 
 class Balance(_Message, frozen=True):
@@ -241,10 +249,47 @@
 
 
 class PlacementRequest(msgspec.Struct, frozen=True):
-    """JSON body of the operator request that places a data centre."""
+    """JSON body of the operator request that places a data centre.
+
+    Parameters
+    ----------
+    last_order : OrderNumber
+        See ``CatalogueState.set_placement``.
+    """
 
     data_centre: DataCentreId
     placement: Placement
+    last_order: OrderNumber
+
+
+class PlacementQuery(msgspec.Struct, frozen=True):
+    """JSON body of the request for the last order of a data centre."""
+
+    data_centre: DataCentreId
+
+
+class PlacementState(msgspec.Struct, frozen=True):
+    """JSON body of the answer to a ``PlacementQuery``."""
+
+    last_order: OrderNumber
+
+
+class BackendServerQuery(msgspec.Struct, frozen=True):
+    """JSON body of the request for the incarnation of a database."""
+
+    database: DatabaseId
+
+
+class BackendServerState(msgspec.Struct, frozen=True):
+    """JSON body of the answer to a ``BackendServerQuery``.
+
+    Parameters
+    ----------
+    incarnation : int or None
+        Incarnation of the member, None if the database is no member.
+    """
+
+    incarnation: int | None
 
 
 class OperatorAnswer(_Message, frozen=True):
--- a/libs/control/siskinsail_control/_operator_request_handler.py
+++ b/libs/control/siskinsail_control/_operator_request_handler.py
@@ -27,9 +27,13 @@
 from ._commands import PlaceDataCentre
 from ._commands import ReplaceConfiguration
 from ._leadership import Leadership
+from ._messages import BackendServerQuery
+from ._messages import BackendServerState
 from ._messages import OperatorAnswer
 from ._messages import OperatorRequest
+from ._messages import PlacementQuery
 from ._messages import PlacementRequest
+from ._messages import PlacementState
 from ._messages import Status
 from ._replica_port import is_certainly_not_applied
 from ._state import decode_change_result
@@ -64,7 +68,9 @@
             ('POST', '/v1/catalogue/apply'): self._apply_catalogue,
             ('GET', '/v1/configuration'): self._get_configuration,
             ('PUT', '/v1/configuration'): self._replace_configuration,
+            ('GET', '/v1/data-centres'): self._get_placement,
             ('PUT', '/v1/data-centres'): self._place_data_centre,
+            ('GET', '/v1/backend-servers'): self._get_backend_server,
         }
 
     async def handle(self, request: OperatorRequest) -> OperatorAnswer:
@@ -167,6 +173,7 @@
             placement_request.data_centre,
             placement_request.placement,
             self._context.clock.wall_s(),
+            placement_request.last_order,
         )
         return await self._propose_change(
             command,
@@ -174,6 +181,32 @@
             f'-{placement_request.data_centre}',
         )
 
+    async def _get_placement(self, request: OperatorRequest) -> OperatorAnswer:
+        """Return the number of the last order for a data centre."""
+        try:
+            query = msgspec.json.decode(request.body, type=PlacementQuery)
+        except DECODE_ERRORS as error:
+            return _invalid_answer(
+                str(error), (Mistake('', '', '', str(error)),)
+            )
+        catalogue = self._context.state.catalogue
+        last_order = catalogue.last_placement_order(query.data_centre)
+        return _json_answer(200, PlacementState(last_order))
+
+    async def _get_backend_server(
+        self, request: OperatorRequest
+    ) -> OperatorAnswer:
+        """Return the incarnation of a database that is a member."""
+        try:
+            query = msgspec.json.decode(request.body, type=BackendServerQuery)
+        except DECODE_ERRORS as error:
+            return _invalid_answer(
+                str(error), (Mistake('', '', '', str(error)),)
+            )
+        server = self._context.membership.member(query.database)
+        incarnation = None if server is None else server.incarnation
+        return _json_answer(200, BackendServerState(incarnation))
+
     async def _propose_change(
         self, command: ReplaceConfiguration | PlaceDataCentre, name: str
     ) -> OperatorAnswer:
--- a/libs/control/siskinsail_control/_state.py
+++ b/libs/control/siskinsail_control/_state.py
@@ -217,7 +217,10 @@
     def _(self, command: PlaceDataCentre) -> bytes:
         return _encoder.encode(
             self._catalogue.set_placement(
-                command.name, command.placement, command.wall_s
+                command.name,
+                command.placement,
+                command.wall_s,
+                command.last_order,
             )
         )
 
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -140,6 +140,7 @@
 
 struct Departure {
   database @0 :Text;
+  incarnation @1 :UInt64;
 }
 
 struct ReportAnswer {
--- a/libs/control/tests/test_membership.py
+++ b/libs/control/tests/test_membership.py
@@ -98,8 +98,9 @@
     membership, clock = _membership()
     server = msgspec.structs.replace(SERVER, incarnation=4, sequence=7)
     membership.record_announcement(server, 0.0)
-    assert membership.mark_departed('db')
-    assert not membership.mark_departed('db')
+    assert not membership.mark_departed('db', 3)
+    assert membership.mark_departed('db', 4)
+    assert not membership.mark_departed('db', 4)
     clock.advance(0.1)
     membership.record_announcement(
         msgspec.structs.replace(server, **change), 0.0
@@ -165,7 +166,7 @@
     if cause == 'leaving':
         before.record_announcement(_report(9, leaving=True), 0.0)
     elif cause == 'departed':
-        before.mark_departed('db')
+        before.mark_departed('db', _report(0).incarnation)
     else:
         successor = _report(1, database='new', incarnation=8)
         before.record_announcement(successor, 0.0)
@@ -180,7 +181,7 @@
 def test_a_database_that_starts_again_is_used_after_it_departed():
     before, clock = _membership()
     before.record_announcement(_report(5), 0.0)
-    before.mark_departed('db')
+    before.mark_departed('db', _report(0).incarnation)
     after = Membership(ControlSettings(), clock)
     after.restore(before.to_persist().values(), before.departed.values())
     assert after.record_announcement(_report(1, incarnation=8), 0.0)
--- a/libs/model/siskinsail_model/_suite.py
+++ b/libs/model/siskinsail_model/_suite.py
@@ -10,6 +10,8 @@
 from ._leases import lease_specification
 from ._loans import BROKEN_LOAN_RULES
 from ._loans import loan_specification
+from ._orders import BROKEN_ORDER_RULES
+from ._orders import order_specification
 from ._primary import BROKEN_PRIMARY_RULES
 from ._primary import primary_specification
 from ._specification import Specification
@@ -45,6 +47,9 @@
     yield Case(lease_specification(), '')
     for name, lease in BROKEN_LEASE_RULES.items():
         yield Case(lease_specification(lease), name)
+    yield Case(order_specification(), '')
+    for name, order in BROKEN_ORDER_RULES.items():
+        yield Case(order_specification(order), name)
 
 
 def small_specifications() -> list[Specification]:
@@ -54,4 +59,5 @@
         primary_specification(),
         loan_specification(),
         lease_specification(),
+        order_specification(),
     ]
--- a/libs/net/siskinsail_net/_http_message.py
+++ b/libs/net/siskinsail_net/_http_message.py
@@ -25,7 +25,8 @@
     context : object or None
         State that the handler keeps for the lifetime of the connection.
     is_open : bool
-        Whether the connection is still open.
+        Whether the connection is still open, as far as the server has read
+        it; see ``watches_clients`` of ``HttpServer``.
     """
 
     remote_host: str
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -18,6 +18,7 @@
 from ._http_message import HttpResponse
 from ._http_message import MAX_BODY_BYTES
 from ._http_message import MAX_HEADER_BYTES
+from ._network import DISCONNECTED
 from ._network import Network
 from ._network import serve_connections
 
@@ -27,6 +28,37 @@
 _READ_BYTES = 65536
 
 
+class _WatchedStream:
+    """Reads a connection also while a request is being answered.
+
+    Parameters
+    ----------
+    stream : ByteStream
+        The accepted connection.
+    connection : HttpConnection
+        Connection that is marked as closed once the client has closed it.
+    """
+
+    def __init__(
+        self, stream: anyio.abc.ByteStream, connection: HttpConnection
+    ) -> None:
+        self._stream = stream
+        self._connection = connection
+        self._early = b''
+
+    async def receive(self) -> bytes:
+        """Return what was read during the last answer, or read."""
+        early, self._early = self._early, b''
+        return early or await self._stream.receive(_READ_BYTES)
+
+    async def watch(self) -> None:
+        """Return once the client has closed, or has sent something."""
+        try:
+            self._early = await self._stream.receive(_READ_BYTES)
+        except DISCONNECTED:
+            self._connection.is_open = False
+
+
 class _RequestTooLargeError(Exception):
     """Raised by the parser callbacks when a size limit is exceeded."""
 
@@ -100,6 +132,9 @@
     bad_request : callable
         Builds the response to invalid or oversized input, from an HTTP
         status and a message.
+    watches_clients : bool
+        Whether ``HttpConnection.is_open`` becomes False as soon as the client
+        closes its side, also while a request is being answered.
     """
 
     def __init__(
@@ -107,10 +142,13 @@
         network: Network,
         handler: Handler,
         bad_request: BadRequestHandler,
+        *,
+        watches_clients: bool = False,
     ) -> None:
         self._network = network
         self._handler = handler
         self._bad_request = bad_request
+        self._watches_clients = watches_clients
         self._open_connections = 0
         self._draining = False
 
@@ -158,9 +196,10 @@
         self, stream: anyio.abc.ByteStream, connection: HttpConnection
     ) -> None:
         parser = _RequestParser(connection)
+        watched = _WatchedStream(stream, connection)
         while True:
             try:
-                parser.feed(await stream.receive(_READ_BYTES))
+                parser.feed(await watched.receive())
             except anyio.EndOfStream:
                 return
             except _RequestTooLargeError:
@@ -176,15 +215,21 @@
                 else:
                     await self._send_error(stream, 400, 'invalid HTTP request')
                 return
-            if not await self._answer_parsed_requests(stream, parser):
+            if not await self._answer_parsed_requests(stream, watched, parser):
                 return
 
     async def _answer_parsed_requests(
-        self, stream: anyio.abc.ByteStream, parser: _RequestParser
+        self,
+        stream: anyio.abc.ByteStream,
+        watched: _WatchedStream,
+        parser: _RequestParser,
     ) -> bool:
         while parser.requests:
             request = parser.requests.popleft()
-            response = await self._answer(request)
+            if self._watches_clients and not parser.requests:
+                response = await self._answer_watched(request, watched)
+            else:
+                response = await self._answer(request)
             if self._draining or not request.keep_alive:
                 response.close = True
             await stream.send(response.encode())
@@ -192,6 +237,15 @@
                 return False
         return True
 
+    async def _answer_watched(
+        self, request: HttpRequest, watched: _WatchedStream
+    ) -> HttpResponse:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watched.watch)
+            response = await self._answer(request)
+            tasks.cancel_scope.cancel()
+        return response
+
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         try:
             return await self._handler(request)
--- a/libs/net/tests/test_http.py
+++ b/libs/net/tests/test_http.py
@@ -103,3 +103,43 @@
         status, body = await new_client.request_json('GET', '/b', timeout_s=2)
         assert (status, body['path']) == (200, '/b')
         tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('is_closing', [True, False])
+async def test_a_handler_learns_that_its_client_has_closed(is_closing):
+    # Fails if a request is carried out for a client that has given up.
+    network = TcpNetwork()
+    begun, go_on = anyio.Event(), anyio.Event()
+    were_open = []
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        begun.set()
+        await go_on.wait()
+        were_open.append(request.connection.is_open)
+        return HttpResponse.json(200, {'path': request.path})
+
+    server = HttpServer(network, handle, _bad_request, watches_clients=True)
+    async with anyio.create_task_group() as tasks:
+        local = await tasks.start(server.serve, LOCAL)
+        stream = await network.connect(local, 1)
+        with anyio.fail_after(5):
+            await stream.send(b'POST /a HTTP/1.1\r\n\r\n')
+            await begun.wait()
+            if is_closing:
+                await stream.aclose()
+            else:
+                await stream.send(b'POST /b HTTP/1.1\r\n\r\n')
+            # The server reads what was sent.
+            await anyio.wait_all_tasks_blocked()
+            go_on.set()
+            while len(were_open) < (1 if is_closing else 2):
+                await anyio.sleep(0.01)
+            if not is_closing:
+                received = b''
+                while received.count(b'{') < 2:
+                    received += await stream.receive()
+                assert b'/a' in received
+                assert b'/b' in received
+                await stream.aclose()
+        tasks.cancel_scope.cancel()
+    assert were_open == ([False] if is_closing else [True, True])
--- a/libs/types/siskinsail_types/__init__.py
+++ b/libs/types/siskinsail_types/__init__.py
@@ -26,6 +26,7 @@
 from ._ids import EntryVersion as EntryVersion
 from ._ids import KeyDigest as KeyDigest
 from ._ids import LogIndex as LogIndex
+from ._ids import OrderNumber as OrderNumber
 from ._ids import RegionId as RegionId
 from ._ids import RequestId as RequestId
 from ._ids import RouteId as RouteId
