Keep signal handlers until a process has ended

Cause: ProcessSignals blocked the signals in the main thread at the end and then removed the handlers.

Change: handlers that do not belong to the event loop, which are replaced by SIG_IGN at the end and never removed.

--- a/libs/lifecycle/siskinsail_lifecycle/_signals.py
+++ b/libs/lifecycle/siskinsail_lifecycle/_signals.py
@@ -1,7 +1,9 @@
 """Signals of a process, from its start to its end."""
 
+import asyncio
 from collections.abc import Callable
 import signal
+from types import FrameType
 
 import anyio
 import anyio.abc
@@ -19,9 +21,12 @@
     first SIGTERM or SIGINT requests the stop; a later one is logged and
     changes nothing, since the stop is under way. SIGHUP reloads.
 
-    No signal has its default action at any time: the program blocks the
-    signals before it loads its modules, ``run`` unblocks them once it can
-    handle them, and blocks them again for the rest of the process.
+    No signal has its default action at any time. The program blocks the
+    signals before it loads its modules, and ``run`` unblocks them once their
+    handlers are installed. The handlers are never removed, as those of an
+    event loop are when it ends: for the rest of the process, in which nothing
+    is left to stop, the signals are ignored. Blocking them would not do,
+    since the system delivers a signal to any thread that does not block it.
 
     Parameters
     ----------
@@ -37,6 +42,8 @@
     def __init__(self, reload: Callable[[str], None]) -> None:
         self._reload = reload
         self._stop_requested = anyio.Event()
+        # Signals that wait for the event loop, in the order of their arrival.
+        self._received: dict[int, None] = {}
 
     @property
     def stop_requested(self) -> anyio.Event:
@@ -52,14 +59,29 @@
 
         ``task_status`` is started once signals are handled.
         """
-        with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
-            signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
-            task_status.started()
-            try:
-                async for received in signals:
-                    self._handle(received)
-            finally:
-                signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+        loop = asyncio.get_running_loop()
+
+        def receive(number: int, frame: FrameType | None) -> None:
+            # Runs between two instructions of the main thread.
+            if not self._received:
+                loop.call_soon_threadsafe(self._handle_received)
+            self._received[number] = None
+
+        for number in HANDLED_SIGNALS:
+            signal.signal(number, receive)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+        task_status.started()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            for number in HANDLED_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
+
+    def _handle_received(self) -> None:
+        """Handle each signal that came since the last call once."""
+        received, self._received = self._received, {}
+        for number in received:
+            self._handle(signal.Signals(number))
 
     def _handle(self, received: signal.Signals) -> None:
         is_stopping = self._stop_requested.is_set()
--- a/tests/test_daemon_signals.py
+++ b/tests/test_daemon_signals.py
@@ -4,9 +4,11 @@
 it is running.
 """
 
+import itertools
 from pathlib import Path
 import signal
 
+import anyio
 import pytest
 from scenario import READY_S
 from scenario import running
@@ -20,6 +22,8 @@
 STOP_TIMEOUT_S = 15.0
 # One of the first extension modules that a daemon loads.
 EARLY_LIBRARY = 'msgspec'
+# Several signals fall into the end of the interpreter.
+SIGNAL_PAUSE_S = 0.002
 STOPPING = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
@@ -69,6 +73,24 @@
             await fleet.wait_ready(READY_S)
 
 
+async def test_signals_until_a_daemon_has_ended(tmp_path):
+    # Fails if a signal has its default action while the daemon ends. A thread
+    # that syncs the journal does not block signals as the main thread can.
+    async with running(tmp_path) as scenario:
+        fleet = scenario.fleet
+        for vm in fleet.deployment.vms:
+            process = fleet.processes[vm.name]
+            fleet.terminate(vm.name)
+            numbers = itertools.cycle(STOPPING)
+            with anyio.fail_after(STOP_TIMEOUT_S):
+                while process.is_running:
+                    process.send(next(numbers))
+                    await anyio.sleep(SIGNAL_PAUSE_S)
+            assert process.exit_code == 0
+            fleet.restart(vm.name)
+            await fleet.wait_ready(READY_S)
+
+
 async def test_signals_during_a_planned_stop_interrupt_nothing(tmp_path):
     # Fails if a signal during the stop cuts off an open transaction.
     async with running(tmp_path) as scenario:
