Answer what was accepted before a planned stop ends, and refuse the rest

Cause: nothing decided what a stop accepts at which moment. Sessions and statements were accepted until the process cancelled all its tasks, and transactions were aborted beside their running statement.

From the finishing phase on everything is refused as not run, running statements are answered, and the client of an idle transaction is told that it was aborted. What has no answer at the end gets the one that is true. This works because no work is accepted later than the time for which the process waits.

--- a/libs/daemon/siskinsail_daemon/_daemon.py
+++ b/libs/daemon/siskinsail_daemon/_daemon.py
@@ -12,6 +12,9 @@
 from siskinsail_control import DaemonIdentity
 from siskinsail_control import OperatorApi
 from siskinsail_control import OperatorSettings
+from siskinsail_lifecycle import GracefulStop
+from siskinsail_lifecycle import StopPhase
+from siskinsail_lifecycle import StopSettings
 from siskinsail_limits import Borrower
 from siskinsail_net import FaultNetwork
 from siskinsail_net import FaultTable
@@ -30,8 +33,9 @@
 from ._settings import DaemonSettings
 
 LEADER_TRANSFER_TIMEOUT_S = 2.0
-# Delay after the last request has finished, in which its response is sent.
-FINAL_RESPONSES_S = 0.2
+# Time limits at the end of a planned stop.
+_RELEASE_S = 5.0
+_CLOSE_S = 1.0
 
 
 def make_network(settings: DaemonSettings) -> Network:
@@ -42,6 +46,19 @@
     return FaultNetwork(host, FaultTable(settings.fault_rules))
 
 
+def _stop_settings(settings: DaemonSettings) -> StopSettings:
+    """Return the phases; every accepted request ends by its deadline."""
+    draining_s = settings.balancer_wait_s + settings.drain_s
+    finishing_s = draining_s + settings.proxy().max_deadline_ms / 1000
+    return StopSettings(
+        leaving_s=settings.balancer_wait_s,
+        draining_s=draining_s,
+        finishing_s=finishing_s,
+        released_s=finishing_s + _RELEASE_S,
+        closing_s=finishing_s + _RELEASE_S + _CLOSE_S,
+    )
+
+
 class Daemon:
     """One ``siskinsaild`` process.
 
@@ -60,7 +77,7 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._accepts_clients = False
+        self._has_started = False
         registry = prometheus_client.CollectorRegistry()
         registry.register(UNEXPECTED_ERRORS)
         prometheus_client.ProcessCollector(registry=registry)
@@ -108,13 +125,18 @@
         self._operator_server = HttpServer(
             network, self._operator_api.handle, bad_request_response
         )
+        self._stop = GracefulStop(
+            _stop_settings(settings),
+            (self._proxy, self._client_server, self._operator_server),
+            clock,
+        )
 
     async def run(self, stop_requested: anyio.Event) -> None:
         """Run until ``stop_requested`` is set, then shut down gracefully."""
         async with anyio.create_task_group() as tasks:
             await self._start(tasks)
             await stop_requested.wait()
-            await self._shut_down()
+            await self._stop.run(self._release)
             tasks.cancel_scope.cancel()
 
     async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -129,14 +151,14 @@
             self._operator_server.serve, settings.operator_address
         )
         await tasks.start(self._client_server.serve, settings.client_address)
-        self._accepts_clients = True
-
-    async def _shut_down(self) -> None:
-        self._accepts_clients = False
-        await anyio.sleep(self._settings.balancer_wait_s)
-        self._client_server.drain()
-        await self._proxy.drain(self._settings.drain_s)
-        await anyio.sleep(FINAL_RESPONSES_S)
+        self._has_started = True
+
+    @property
+    def _is_serving(self) -> bool:
+        return self._has_started and self._stop.phase is StopPhase.SERVING
+
+    async def _release(self) -> None:
+        """Give back lease, tokens, connections and leadership."""
         await self._agent.stop()
         if self._control_role is not None:
             with anyio.move_on_after(LEADER_TRANSFER_TIMEOUT_S):
@@ -174,7 +196,7 @@
                 role='control' if self._control_role else 'daemon',
             ),
             self._agent,
-            lambda: self._accepts_clients and self._readiness.check(),
+            lambda: self._is_serving and self._readiness.check(),
             registry,
             event_log.events,
         )
--- a/libs/daemon/siskinsail_daemon/_settings.py
+++ b/libs/daemon/siskinsail_daemon/_settings.py
@@ -105,8 +105,7 @@
         30.0,
         ge=0,
         le=600,
-        description='maximum wait at shutdown for requests and '
-        'transactions to finish',
+        description='maximum wait at shutdown for transactions to finish',
     )
     transaction_idle_s: float = Field(
         30.0,
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -10,6 +10,8 @@
 import anyio.abc
 import httptools
 
+from siskinsail_lifecycle import PhaseWaits
+from siskinsail_lifecycle import StopPhase
 from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
 
@@ -26,6 +28,8 @@
 BadRequestHandler = Callable[[int, str], HttpResponse]
 
 _READ_BYTES = 65536
+# Time in which a request is read that arrived as its connection was closed.
+_ARRIVED_S = 0.01
 
 
 class _WatchedStream:
@@ -150,16 +154,31 @@
         self._bad_request = bad_request
         self._watches_clients = watches_clients
         self._open_connections = 0
-        self._draining = False
+        self._requests_in_progress = 0
+        self._waits = PhaseWaits()
 
     @property
     def open_connections(self) -> int:
         """Number of open connections."""
         return self._open_connections
 
-    def drain(self) -> None:
-        """Close each connection after its current or next response."""
-        self._draining = True
+    @property
+    def has_work(self) -> bool:
+        """Whether requests are being answered."""
+        return self._requests_in_progress > 0
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether connections are open."""
+        return self._open_connections > 0
+
+    def enter(self, phase: StopPhase) -> None:
+        """Enter a phase of a planned stop.
+
+        From ``DRAINING`` on, each connection is closed after its current or
+        next response; in ``CLOSING`` idle ones are closed.
+        """
+        self._waits.enter(phase)
 
     async def serve(
         self,
@@ -175,7 +194,11 @@
         listens.
         """
         await serve_connections(
-            self._network, local, self._serve_connection, task_status
+            self._network,
+            local,
+            self._serve_connection,
+            task_status,
+            self._waits,
         )
 
     async def _serve_connection(self, socket: anyio.abc.SocketStream) -> None:
@@ -199,7 +222,10 @@
         watched = _WatchedStream(stream, connection)
         while True:
             try:
-                parser.feed(await watched.receive())
+                received = await self._receive(watched)
+                if received is None:
+                    return
+                parser.feed(received)
             except anyio.EndOfStream:
                 return
             except _RequestTooLargeError:
@@ -218,6 +244,17 @@
             if not await self._answer_parsed_requests(stream, watched, parser):
                 return
 
+    async def _receive(self, watched: _WatchedStream) -> bytes | None:
+        """Return the next bytes, None if the stop closes the connection.
+
+        What has arrived when the stop closes idle connections is answered.
+        """
+        with self._waits.until(StopPhase.CLOSING):
+            return await watched.receive()
+        with anyio.move_on_after(_ARRIVED_S):
+            return await watched.receive()
+        return None
+
     async def _answer_parsed_requests(
         self,
         stream: anyio.abc.ByteStream,
@@ -226,13 +263,20 @@
     ) -> bool:
         while parser.requests:
             request = parser.requests.popleft()
-            if self._watches_clients and not parser.requests:
-                response = await self._answer_watched(request, watched)
-            else:
-                response = await self._answer(request)
-            if self._draining or not request.keep_alive:
-                response.close = True
-            await stream.send(response.encode())
+            self._requests_in_progress += 1
+            try:
+                if self._watches_clients and not parser.requests:
+                    response = await self._answer_watched(request, watched)
+                else:
+                    response = await self._answer(request)
+                if (
+                    self._waits.phase >= StopPhase.DRAINING
+                    or not request.keep_alive
+                ):
+                    response.close = True
+                await stream.send(response.encode())
+            finally:
+                self._requests_in_progress -= 1
             if response.close:
                 return False
         return True
--- a/libs/net/siskinsail_net/_network.py
+++ b/libs/net/siskinsail_net/_network.py
@@ -10,6 +10,8 @@
 import anyio
 import anyio.abc
 
+from siskinsail_lifecycle import PhaseWaits
+from siskinsail_lifecycle import StopPhase
 from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
@@ -124,6 +126,7 @@
     local: Address,
     handle: Callable[[anyio.abc.SocketStream], Awaitable[None]],
     task_status: anyio.abc.TaskStatus[Address],
+    waits: PhaseWaits | None = None,
 ) -> None:
     """Accept connections and serve each in its own task, until cancelled.
 
@@ -133,7 +136,11 @@
         Serves one accepted connection, not yet wrapped by ``accepted``.
     task_status : TaskStatus
         Started with the bound address once the listener is open.
+    waits : PhaseWaits or None
+        Waits of a server that stops in phases: the listener is closed when
+        ``CLOSING`` begins, and the connections go on.
     """
+    waits = waits or PhaseWaits()
 
     async def handle_safely(stream: anyio.abc.SocketStream) -> None:
         try:
@@ -144,6 +151,7 @@
             await anyio.aclose_forcefully(stream)
 
     listener = await network.listen(local)
-    async with listener:
+    async with anyio.create_task_group() as connections, listener:
         task_status.started(bound_address(listener))
-        await listener.serve(handle_safely)
+        with waits.until(StopPhase.CLOSING):
+            await listener.serve(handle_safely, connections)
--- a/libs/proxy/siskinsail_proxy/_admission.py
+++ b/libs/proxy/siskinsail_proxy/_admission.py
@@ -13,6 +13,7 @@
 from siskinsail_catalogue import RouteEntry
 from siskinsail_catalogue import View
 from siskinsail_catalogue import ViewSource
+from siskinsail_lifecycle import StopPhase
 from siskinsail_limits import RateLimiter
 from siskinsail_net import HttpRequest
 from siskinsail_types import Clock
@@ -85,11 +86,15 @@
         self._anonymous_limit = LocalTokenBucket(
             settings.anonymous_rate, settings.anonymous_burst, clock
         )
-        self._is_draining = False
+        self._phase = StopPhase.SERVING
 
-    def drain(self) -> None:
-        """Reject all further requests except those on open transactions."""
-        self._is_draining = True
+    def enter(self, phase: StopPhase) -> None:
+        """Enter a phase of a planned stop.
+
+        From ``DRAINING`` on, only requests on open transactions are accepted,
+        and from ``FINISHING`` on none.
+        """
+        self._phase = phase
 
     def check_request(
         self, request: HttpRequest, started_s: float
@@ -102,7 +107,10 @@
             )
         if request.method != 'POST':
             return Failure(malformed_error('the method is not POST'))
-        if self._is_draining and target.action in _ACTIONS_ON_ROUTES:
+        if not self._phase.accepts_work or (
+            self._phase >= StopPhase.DRAINING
+            and target.action in _ACTIONS_ON_ROUTES
+        ):
             return Failure(_not_ready_error('this entry VM is shutting down'))
         parsed = parse_headers(request, self._settings)
         if isinstance(parsed, Failure):
--- a/libs/proxy/siskinsail_proxy/_proxy.py
+++ b/libs/proxy/siskinsail_proxy/_proxy.py
@@ -13,6 +13,7 @@
 from siskinsail_backend import Statement
 from siskinsail_catalogue import RouteEntry
 from siskinsail_catalogue import ViewSource
+from siskinsail_lifecycle import StopPhase
 from siskinsail_limits import RateLimiter
 from siskinsail_net import HttpRequest
 from siskinsail_net import HttpResponse
@@ -49,7 +50,6 @@
 from ._writes import WritePath
 
 _MAINTENANCE_INTERVAL_S = 0.5
-_DRAIN_POLL_INTERVAL_S = 0.02
 _MAX_ECHOED_ID_CHARACTERS = 128
 
 ResponseResult = Result[HttpResponse, RequestError]
@@ -161,20 +161,28 @@
         finally:
             self._transaction_table.end_all()
 
-    async def drain(self, timeout_s: float) -> None:
-        """Reject new requests and wait for the requests in flight.
+    @property
+    def has_work(self) -> bool:
+        """Whether requests are in flight or transactions are open."""
+        return self._in_flight > 0 or len(self._transaction_table) > 0
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether connections are open; those of HTTP are the server's."""
+        return False
+
+    def enter(self, phase: StopPhase) -> None:
+        """Enter a phase of a planned stop.
 
-        Requests on open transactions are still accepted. Transactions that
-        are open after ``timeout_s`` seconds are rolled back.
+        From ``DRAINING`` on, only requests on open transactions are accepted.
+        In ``FINISHING`` the transactions are rolled back, those with a running
+        request after it.
         """
-        self._admission.drain()
-        self._expiry_scope.cancel()
-        deadline_s = self._clock.now_s() + timeout_s
-        while (
-            self._in_flight or len(self._transaction_table)
-        ) and self._clock.now_s() < deadline_s:
-            await anyio.sleep(_DRAIN_POLL_INTERVAL_S)
-        self._transaction_table.end_all()
+        self._admission.enter(phase)
+        if phase is StopPhase.DRAINING:
+            self._expiry_scope.cancel()
+        if phase is StopPhase.FINISHING:
+            self._transaction_table.refuse_further()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to a request, an error response on failure."""
--- a/libs/proxy/siskinsail_proxy/_transactions.py
+++ b/libs/proxy/siskinsail_proxy/_transactions.py
@@ -72,6 +72,7 @@
         self._metrics = metrics
         self._open: dict[TransactionId, Transaction] = {}
         self._opening = 0
+        self._refuses_further = False
         # Number of open and opening transactions of each client account.
         self._count_by_account: Counter[AccountId] = Counter()
         self._expired: OrderedDict[TransactionId, AccountId] = OrderedDict()
@@ -144,7 +145,7 @@
         """Mark a transaction as idle, so that the next request can run."""
         transaction.is_busy = False
         transaction.last_used_s = self._clock.now_s()
-        if not transaction.connection.is_open:
+        if not transaction.connection.is_open or self._refuses_further:
             self.end(transaction, expired=True)
 
     def end(self, transaction: Transaction, *, expired: bool = False) -> None:
@@ -175,6 +176,11 @@
             self.end(transaction, expired=True)
         return idle
 
+    def refuse_further(self) -> None:
+        """End each transaction that has no running request, now or later."""
+        self._refuses_further = True
+        self.end_all()
+
     def end_all(self) -> None:
         """End all transactions without a running request."""
         for transaction in list(self._open.values()):
--- a/libs/proxy/tests/test_statements.py
+++ b/libs/proxy/tests/test_statements.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from siskinsail_lifecycle import StopPhase
 from siskinsail_net import HttpConnection
 from siskinsail_net import HttpRequest
 from siskinsail_types import GroupPhase
@@ -359,8 +360,10 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(write)
             await cluster.wait_until(lambda: cluster.proxy.requests_in_flight)
-            await cluster.proxy.drain(5.0)
+            cluster.proxy.enter(StopPhase.DRAINING)
             late = await cluster.run('write', put('a', 2))
+            assert not answers
+            await cluster.wait_until(lambda: not cluster.proxy.has_work)
         assert answers[0][0] == 200
         assert late[1]['error']['code'] == 'not_ready'
         assert late[1]['error']['outcome'] == 'not_run'
--- a/libs/statements/siskinsail_statements/__init__.py
+++ b/libs/statements/siskinsail_statements/__init__.py
@@ -12,6 +12,7 @@
 from ._outcome import SessionReply as SessionReply
 from ._outcome import StatementError as StatementError
 from ._outcome import StatementErrorCode as StatementErrorCode
+from ._outcome import stopping_error as stopping_error
 from ._outcome import TransactionState as TransactionState
 from ._positions import PositionSamples as PositionSamples
 from ._replicas import LocalPool as LocalPool
--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -8,6 +8,7 @@
 from returns.result import Success
 
 from siskinsail_catalogue import ViewSource
+from siskinsail_lifecycle import StopPhase
 from siskinsail_types import Clock
 from siskinsail_types import Consistency
 from siskinsail_types import LeaseState
@@ -106,7 +107,7 @@
         self._metrics = metrics
         self._transactions = HeldTransactions(clock)
         self._running = 0
-        self._is_draining = False
+        self._phase = StopPhase.SERVING
         self._actions: dict[ForwardedAction, _Act] = {
             ForwardedAction.RUN: self._run_single,
             ForwardedAction.BEGIN: self._begin,
@@ -121,9 +122,21 @@
         """Whether a statement is running or a transaction is open."""
         return self._running > 0 or len(self._transactions) > 0
 
-    def drain(self) -> None:
-        """Refuse new statements; open transactions go on."""
-        self._is_draining = True
+    @property
+    def has_connections(self) -> bool:
+        """Whether connections of clients are open: daemons have none here."""
+        return False
+
+    def enter(self, phase: StopPhase) -> None:
+        """Enter a phase of a planned stop.
+
+        From ``DRAINING`` on, new statements are refused, so that another
+        holder runs them, and open transactions go on. In ``FINISHING`` they
+        end, and only statements that run already are finished.
+        """
+        self._phase = phase
+        if phase is StopPhase.FINISHING:
+            self._transactions.end_idle()
 
     async def run(self) -> None:
         """End idle transactions until cancelled."""
@@ -142,7 +155,7 @@
             If the payload is not a call.
         """
         call = decode_call(payload)
-        if self._is_draining and not call.transaction:
+        if self._phase >= StopPhase.DRAINING and not call.transaction:
             return encode_answer(not_run(NotRunReason.DRAINING, 'draining'))
         self._running += 1
         try:
@@ -212,7 +225,11 @@
                 variables, statement, call.request_id, None, call.timeout_s
             ),
         )
-        if not connection.is_in_transaction or isinstance(result, Failure):
+        if (
+            not connection.is_in_transaction
+            or isinstance(result, Failure)
+            or not self._phase.accepts_work
+        ):
             await self._end(call.transaction, held)
         return exchanged(result)
 
@@ -276,6 +293,9 @@
         held = self._transactions.find(call.transaction, caller)
         if held is None or held.is_running:
             return None
+        if not self._phase.accepts_work:
+            await self._end(call.transaction, held)
+            return None
         if not held.is_read_write or self._primaries.may_continue(
             held.service, held.transaction
         ):
--- a/libs/statements/siskinsail_statements/_outcome.py
+++ b/libs/statements/siskinsail_statements/_outcome.py
@@ -78,6 +78,16 @@
         self.retry_after_s = retry_after_s
 
 
+def stopping_error(
+    code: StatementErrorCode = StatementErrorCode.BUSY,
+) -> StatementError:
+    """Return the error for what a planned stop refuses or aborts.
+
+    The load balancer gives the next attempt to another daemon.
+    """
+    return StatementError(code, 'the server is shutting down', 0.0)
+
+
 class Reply(NamedTuple):
     """Reply of a database to one command.
 
--- a/libs/statements/siskinsail_statements/_session.py
+++ b/libs/statements/siskinsail_statements/_session.py
@@ -22,6 +22,7 @@
 from ._outcome import SessionReply
 from ._outcome import StatementError
 from ._outcome import StatementErrorCode
+from ._outcome import stopping_error
 from ._outcome import TransactionState
 from ._statement import Begin
 from ._statement import CallerStatement
@@ -114,6 +115,44 @@
             self._authorization = None
         return reply
 
+    def refuse(self, error: StatementError) -> SessionReply:
+        """Return the reply to a statement that is not run.
+
+        An open transaction is rolled back, so that nothing of it is kept.
+        """
+        if self._state is not TransactionState.IDLE:
+            self.abort(error.message)
+            error = _aborted_error(error.message)
+        return self._error_reply(error)
+
+    def interrupt(
+        self, request_id: RequestId, statement: CallerStatement
+    ) -> SessionReply:
+        """Return the reply to a statement whose execution was cancelled.
+
+        Only a commit, and a write outside a transaction, can have an effect.
+        """
+        is_in_doubt = (
+            self._has_written
+            if isinstance(statement, Commit)
+            else self._state is TransactionState.IDLE
+            and self._writes(statement)
+        )
+        code = (
+            StatementErrorCode.IN_DOUBT
+            if is_in_doubt
+            else StatementErrorCode.ABORTED
+        )
+        reply = self._error_reply(stopping_error(code))
+        self._context.record_reply(
+            request_id,
+            statement,
+            self._authorization,
+            reply,
+            self._context.clock.now_s(),
+        )
+        return reply
+
     def abort(self, reason: str) -> None:
         """End the open transaction, without a request of the caller."""
         if self._state is TransactionState.OPEN:
@@ -413,6 +452,12 @@
         )
         return received_s + timeout_s - self._context.clock.now_s()
 
+    def _writes(self, statement: CallerStatement) -> bool:
+        """Tell whether a statement may write."""
+        return isinstance(statement, Query | Execute) and bool(
+            self._is_write(statement)
+        )
+
     def _is_write(self, statement: Query | Execute) -> bool | None:
         """Tell whether a statement writes.
 
--- a/libs/statements/tests/test_holders.py
+++ b/libs/statements/tests/test_holders.py
@@ -11,6 +11,7 @@
 import pytest
 from statement_group import KEYS
 
+from siskinsail_lifecycle import StopPhase
 from siskinsail_statements import Begin
 from siskinsail_statements import Commit
 from siskinsail_statements import Execute
@@ -274,7 +275,7 @@
         session, other = await daemon.open(), await daemon.open()
         await run(session, 'b', Begin())
         assert await run(session, 'w', WRITE) is None
-        fleet.daemons[first].service.holder.drain()
+        fleet.daemons[first].service.holder.enter(StopPhase.DRAINING)
         assert await run(other, 'new', WRITE) is None
         assert fleet.daemons[first].service.holder.has_work
         assert await run(session, 'c', Commit()) is None
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -160,3 +160,61 @@
         assert accepted_after_s < VOTE_PAUSE_S
         with anyio.fail_after(READY_S):
             await scenario.check()
+
+
+async def test_a_request_that_runs_when_the_drain_ends_is_answered(tmp_path):
+    # Fails if the end of the time for transactions cuts off a request that
+    # was accepted shortly before, or if a later one is accepted.
+    balancer_wait_s, drain_s, work_s = 0.5, 1.0, 2.0
+    flags = (
+        f'--balancer-wait-s={balancer_wait_s}',
+        f'--drain-s={drain_s}',
+    )
+    async with running(tmp_path, daemon_flags=flags) as scenario:
+        leader = await known_leader(scenario)
+        vm = next(
+            vm.name
+            for vm in scenario.fleet.deployment.vms
+            if vm.name != leader
+        )
+        route = f'{scenario.service}-transaction'
+        busy = _make_caller(scenario, vm, 'busy')
+        resting = _make_caller(scenario, vm, 'resting')
+        begun = await busy.begin(route)
+        rests = await resting.begin(route)
+        assert begun.is_answered
+        assert rests.is_answered
+        for database in scenario.fleet.deployment.databases:
+            status, _ = await scenario.fleet.admin(
+                database.name,
+                'POST',
+                '/v1/test/service',
+                {'service_s': work_s},
+            )
+            assert status == 200
+        account = scenario.clients[0].account.name
+        put = {
+            'op': 'put',
+            'table': 'orders',
+            'key': f'{account}/late',
+            'value': 1,
+        }
+        scenario.fleet.terminate(vm)
+        answers = []
+
+        async def run_late():
+            answers.append(
+                await busy.run_in_transaction(begun.transaction, [put])
+            )
+
+        async with anyio.create_task_group() as tasks:
+            await anyio.sleep(balancer_wait_s + drain_s * 0.6)
+            tasks.start_soon(run_late)
+            await anyio.sleep(drain_s * 0.6)
+            refused = await resting.run_in_transaction(
+                rests.transaction, [put]
+            )
+        assert answers[0].is_answered, answers
+        assert refused.outcome is CallOutcome.NOT_RUN, refused
+        assert await scenario.fleet.wait_exited(vm, STOP_TIMEOUT_S) == 0
+        await scenario.check()
