End a cancelled statement's transaction before its answer

Cause: at the end of a planned stop a commit that still ran was answered with "in doubt", and then, since its session still had an open transaction, with "aborted", which promises that nothing is kept. A client that had not read the first answer could have taken the second for it.

Change: CallerSession.interrupt ends the transaction (commit) or lets it fail (other statements) before the answer.

--- a/libs/statements/siskinsail_statements/_session.py
+++ b/libs/statements/siskinsail_statements/_session.py
@@ -131,19 +131,19 @@
         """Return the reply to a statement whose execution was cancelled.
 
         Only a commit, and a write outside a transaction, can have an effect.
+        The connection of a cancelled statement is closed, so any other
+        transaction is rolled back.
         """
-        is_in_doubt = (
-            self._has_written
-            if isinstance(statement, Commit)
-            else self._state is TransactionState.IDLE
-            and self._writes(statement)
-        )
-        code = (
-            StatementErrorCode.IN_DOUBT
-            if is_in_doubt
-            else StatementErrorCode.ABORTED
-        )
-        reply = self._error_reply(stopping_error(code))
+        error = stopping_error(StatementErrorCode.ABORTED)
+        if isinstance(statement, Commit):
+            is_in_doubt = self._has_written
+            self._end_transaction()
+        else:
+            is_single = self._state is TransactionState.IDLE
+            is_in_doubt = is_single and self._writes(statement)
+        if is_in_doubt:
+            error = stopping_error(StatementErrorCode.IN_DOUBT)
+        reply = self._fail_transaction(error)
         self._context.record_reply(
             request_id,
             statement,
