Accept what waits in the queue of the kernel before a listener closes

The kernel completes connections before they are accepted and resets those in its queue, with the requests that they brought, when the listener is closed; cancelling a pending accept could lose one more. A stop now accepts whatever waits before it closes the listener, without a suspension in between, and a process does not end while its listener is open or a connection is counted. Accepting that fails for want of descriptors or memory is logged and repeated after a second; it ended the server before.

--- a/libs/net/siskinsail_net/__init__.py
+++ b/libs/net/siskinsail_net/__init__.py
@@ -1,5 +1,6 @@
 """Network interface, fault injection, HTTP/1.1 and RPCs between daemons."""
 
+from ._accept import ConnectionCount as ConnectionCount
 from ._faults import FaultNetwork as FaultNetwork
 from ._faults import FaultRule as FaultRule
 from ._faults import FaultStream as FaultStream
--- /dev/null
+++ b/libs/net/siskinsail_net/_accept.py
@@ -0,0 +1,123 @@
+"""Acceptance of connections that loses none when a server stops."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import socket
+
+import anyio
+import anyio.abc
+
+from siskinsail_lifecycle import PhaseWaits
+from siskinsail_lifecycle import StopPhase
+from siskinsail_telemetry import log_event
+
+# Pause after a failed acceptance. The listener stays readable meanwhile, so
+# that without a pause the loop would spin.
+_ACCEPT_RETRY_S = 1.0
+
+ConnectionHandler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
+
+
+class ConnectionCount:
+    """Connections that a server has accepted and not closed yet."""
+
+    def __init__(self) -> None:
+        self._is_listening = False
+        self._open = 0
+
+    @property
+    def has_any(self) -> bool:
+        """Whether connections are open or may still be accepted."""
+        return self._is_listening or self._open > 0
+
+    def start_listening(self) -> None:
+        """Record that the listener is open."""
+        self._is_listening = True
+
+    def stop_listening(self) -> None:
+        """Record that no further connection is accepted."""
+        self._is_listening = False
+
+    def add(self) -> None:
+        """Count an accepted connection."""
+        self._open += 1
+
+    def remove(self) -> None:
+        """Stop counting a connection that was closed."""
+        self._open -= 1
+
+
+async def accept_connections(
+    listener: anyio.abc.Listener[anyio.abc.SocketStream],
+    handle: ConnectionHandler,
+    connections: anyio.abc.TaskGroup,
+    waits: PhaseWaits,
+    count: ConnectionCount,
+) -> None:
+    """Accept connections until ``CLOSING`` begins, then close the listener.
+
+    The kernel completes connections before they are accepted, and resets
+    those that wait when the listener is closed, with the requests that they
+    brought. So whatever waits when ``CLOSING`` begins is still accepted.
+    Accepting itself never suspends, so a cancelled wait for the next
+    connection cannot lose one.
+
+    Parameters
+    ----------
+    handle : callable
+        Serves one accepted connection in a task of ``connections``.
+    count : ConnectionCount
+        Counts each connection from its acceptance until it is served.
+    """
+    raw_socket = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+
+    async def serve(accepted: socket.socket) -> None:
+        try:
+            stream = await anyio.abc.SocketStream.from_socket(accepted)
+            await handle(stream)
+        except OSError:
+            # The peer reset the connection before it was wrapped.
+            accepted.close()
+        finally:
+            count.remove()
+
+    def accept_waiting() -> bool:
+        """Accept what waits; return whether resources were sufficient."""
+        try:
+            while (accepted := _accept(raw_socket)) is not None:
+                count.add()
+                connections.start_soon(serve, accepted)
+        except OSError as error:
+            # Too few descriptors or too little memory. The connections wait
+            # in the queue of the kernel.
+            log_event('accept_failed', reason=str(error))
+            return False
+        return True
+
+    count.start_listening()
+    try:
+        with waits.until(StopPhase.CLOSING):
+            while True:
+                await anyio.wait_readable(raw_socket)
+                if not accept_waiting():
+                    await anyio.sleep(_ACCEPT_RETRY_S)
+        accept_waiting()
+        # Closed without a further suspension, in which connections could
+        # complete that nobody accepts.
+        raw_socket.close()
+    finally:
+        count.stop_listening()
+
+
+def _accept(listening: socket.socket) -> socket.socket | None:
+    """Return the next connection, None if none is waiting."""
+    while True:
+        try:
+            accepted, _ = listening.accept()
+        except BlockingIOError:
+            return None
+        except ConnectionAbortedError:
+            continue
+        accepted.setblocking(False)
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return accepted
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -15,6 +15,7 @@
 from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
 
+from ._accept import ConnectionCount
 from ._http_message import HttpConnection
 from ._http_message import HttpRequest
 from ._http_message import HttpResponse
@@ -153,15 +154,10 @@
         self._handler = handler
         self._bad_request = bad_request
         self._watches_clients = watches_clients
-        self._open_connections = 0
+        self._connections = ConnectionCount()
         self._requests_in_progress = 0
         self._waits = PhaseWaits()
 
-    @property
-    def open_connections(self) -> int:
-        """Number of open connections."""
-        return self._open_connections
-
     @property
     def has_work(self) -> bool:
         """Whether requests are being answered."""
@@ -169,8 +165,8 @@
 
     @property
     def has_connections(self) -> bool:
-        """Whether connections are open."""
-        return self._open_connections > 0
+        """Whether connections are open or may still be accepted."""
+        return self._connections.has_any
 
     def enter(self, phase: StopPhase) -> None:
         """Enter a phase of a planned stop.
@@ -199,13 +195,13 @@
             self._serve_connection,
             task_status,
             self._waits,
+            self._connections,
         )
 
     async def _serve_connection(self, socket: anyio.abc.SocketStream) -> None:
         stream = self._network.wrap_accepted(socket)
         remote = socket.extra(anyio.abc.SocketAttribute.remote_address)
         connection = HttpConnection(str(remote[0]))
-        self._open_connections += 1
         try:
             async with stream:
                 await self._serve_requests(stream, connection)
@@ -213,7 +209,6 @@
             pass
         finally:
             connection.is_open = False
-            self._open_connections -= 1
 
     async def _serve_requests(
         self, stream: anyio.abc.ByteStream, connection: HttpConnection
@@ -249,8 +244,9 @@
 
         What has arrived when the stop closes idle connections is answered.
         """
-        with self._waits.until(StopPhase.CLOSING):
-            return await watched.receive()
+        if self._waits.phase < StopPhase.CLOSING:
+            with self._waits.until(StopPhase.CLOSING):
+                return await watched.receive()
         with anyio.move_on_after(_ARRIVED_S):
             return await watched.receive()
         return None
--- a/libs/net/siskinsail_net/_network.py
+++ b/libs/net/siskinsail_net/_network.py
@@ -11,13 +11,15 @@
 import anyio.abc
 
 from siskinsail_lifecycle import PhaseWaits
-from siskinsail_lifecycle import StopPhase
 from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
 from siskinsail_types import ListenError
 from siskinsail_types import TransportError
 
+from ._accept import accept_connections
+from ._accept import ConnectionCount
+
 DISCONNECTED = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -127,6 +129,7 @@
     handle: Callable[[anyio.abc.SocketStream], Awaitable[None]],
     task_status: anyio.abc.TaskStatus[Address],
     waits: PhaseWaits | None = None,
+    count: ConnectionCount | None = None,
 ) -> None:
     """Accept connections and serve each in its own task, until cancelled.
 
@@ -138,9 +141,13 @@
         Started with the bound address once the listener is open.
     waits : PhaseWaits or None
         Waits of a server that stops in phases: the listener is closed when
-        ``CLOSING`` begins, and the connections go on.
+        ``CLOSING`` begins, and the connections go on, also those that wait to
+        be accepted at that moment.
+    count : ConnectionCount or None
+        Counts the connections that are open or may still be accepted.
     """
     waits = waits or PhaseWaits()
+    count = count or ConnectionCount()
 
     async def handle_safely(stream: anyio.abc.SocketStream) -> None:
         try:
@@ -153,5 +160,6 @@
     listener = await network.listen(local)
     async with anyio.create_task_group() as connections, listener:
         task_status.started(bound_address(listener))
-        with waits.until(StopPhase.CLOSING):
-            await listener.serve(handle_safely, connections)
+        await accept_connections(
+            listener, handle_safely, connections, waits, count
+        )
