--- a/libs/net/siskinsail_net/_accept.py
+++ b/libs/net/siskinsail_net/_accept.py
@@ -25,6 +25,11 @@
         self._is_listening = False
         self._open = 0
 
+    @property
+    def open(self) -> int:
+        """Number of open connections."""
+        return self._open
+
     @property
     def has_any(self) -> bool:
         """Whether connections are open or may still be accepted."""
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -158,6 +158,11 @@
         self._requests_in_progress = 0
         self._waits = PhaseWaits()
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return self._connections.open
+
     @property
     def has_work(self) -> bool:
         """Whether requests are being answered."""
