--- a/libs/backend/siskinsail_backend/_account_pool.py
+++ b/libs/backend/siskinsail_backend/_account_pool.py
@@ -150,6 +150,17 @@
         """Number of connections that are open and not in use."""
         return len(self._idle)
 
+    @property
+    def free_connections(self) -> int:
+        """Number of connections that are idle or may be opened."""
+        in_use = len(self._in_use) + self._opening_count
+        return max(self._allowed() - in_use, 0)
+
+    @property
+    def mean_service_s(self) -> float:
+        """Mean time for which a request holds a connection, in seconds."""
+        return self._waiting.mean_service_s
+
     @property
     def connection_demand(self) -> int:
         """Number of connections that the current requests would use."""
--- a/libs/backend/siskinsail_backend/_waiting.py
+++ b/libs/backend/siskinsail_backend/_waiting.py
@@ -42,6 +42,11 @@
         """Return the number of waiting requests."""
         return len(self._queue)
 
+    @property
+    def mean_service_s(self) -> float:
+        """Moving average of the time that a request holds a connection."""
+        return self._mean_service_s
+
     def record_service_time(self, spent_s: float) -> None:
         """Record for how long a request held a connection."""
         self._mean_service_s += _SERVICE_TIME_WEIGHT * (
--- /dev/null
+++ b/libs/holders/siskinsail_holders/_balance.py
@@ -0,0 +1,342 @@
+"""Choice among the holders of a database by their load."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from enum import unique
+import math
+
+from siskinsail_catalogue import ServingDaemon
+from siskinsail_load import LoadTable
+from siskinsail_telemetry import log_event
+from siskinsail_types import AccountId
+from siskinsail_types import Clock
+from siskinsail_types import DatabaseId
+from siskinsail_types import VmId
+
+from ._completion import Completion
+from ._completion import completion_at
+from ._completion import margin_s
+from ._hashing import hash_fraction
+from ._hot_accounts import HotAccounts
+from ._moved_share import Direction
+from ._moved_share import MovedShare
+from ._settings import HolderSettings
+
+# Statements return when the gain has fallen below this part of the margin.
+_RETURN_MARGIN = 0.25
+# Accounts leave a holder one after the other: while the share grows by this
+# amount, the statements of one account leave.
+_ACCOUNT_SPAN = 0.5
+_MAX_SHARES = 4096
+
+_Key = tuple[DatabaseId, VmId]
+
+
+@unique
+class MoveReason(Enum):
+    """Why a statement does not go to the first holder of its account."""
+
+    LOAD = 'load'
+    HOT_ACCOUNT = 'hot_account'
+
+
+@dataclass(frozen=True, slots=True)
+class HolderChoice:
+    """Holders in the order in which they are tried.
+
+    Parameters
+    ----------
+    holders : tuple of ServingDaemon
+        The holders, best first.
+    reason : MoveReason or None
+        Why the first one is not the first by rendezvous hashing.
+    """
+
+    holders: tuple[ServingDaemon, ...]
+    reason: MoveReason | None = None
+
+
+@dataclass(slots=True)
+class _Move:
+    """Statements that leave one holder of a database.
+
+    Parameters
+    ----------
+    share : MovedShare
+        Part of the statements.
+    target : VmId or None
+        Where they go.
+    used_s : float
+        Time at which the target last received a part.
+    turn : int
+        Number of the statements of which only a part leaves.
+    """
+
+    share: MovedShare
+    target: VmId | None = None
+    used_s: float = -math.inf
+    turn: int = 0
+
+
+class HolderBalance:
+    """Decides which holder of a database runs a statement.
+
+    The order by rendezvous hashing applies unless recent figures show that
+    another holder would complete the statement earlier by more than a
+    margin. A part of the statements then leaves the first holder, in steps,
+    one account after the other.
+
+    Parameters
+    ----------
+    settings : HolderSettings
+        Margin, steps and limits.
+    own : VmId
+        Name of this daemon.
+    loads : LoadTable
+        Recent figures of the holders.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        settings: HolderSettings,
+        own: VmId,
+        loads: LoadTable,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._own = own
+        self._loads = loads
+        self._clock = clock
+        self._hot = HotAccounts(settings, own, clock)
+        self._moves: dict[_Key, _Move] = {}
+
+    @property
+    def hot_accounts(self) -> HotAccounts:
+        """Accounts with further holders because of their demand."""
+        return self._hot
+
+    @property
+    def moved_shares(self) -> int:
+        """Number of holders and databases that statements leave."""
+        return sum(move.share.value > 0 for move in self._moves.values())
+
+    def choose(
+        self,
+        database: DatabaseId,
+        account: AccountId,
+        holders: Sequence[ServingDaemon],
+        *,
+        is_sent: bool,
+    ) -> HolderChoice:
+        """Return the holders that share a database, best first.
+
+        Parameters
+        ----------
+        holders : sequence of ServingDaemon
+            The holders that may be called now, in the order by rendezvous
+            hashing.
+        is_sent : bool
+            Whether a statement is sent to the first one of the result.
+        """
+        ranked = tuple(holders)
+        if len(ranked) < 2:
+            return HolderChoice(ranked)
+        completions = self._completions(database, ranked)
+        move = self._update_move(database, ranked, completions)
+        reason = MoveReason.HOT_ACCOUNT
+        index = self._further_holder(
+            database, account, ranked, completions, move.turn
+        )
+        if index == 0:
+            reason = MoveReason.LOAD
+            index = self._other_holder(
+                database, account, ranked, completions, move
+            )
+        if is_sent:
+            move.turn += 1
+        if index == 0:
+            return HolderChoice(ranked)
+        others = (*ranked[:index], *ranked[index + 1 :])
+        return HolderChoice((ranked[index], *others), reason)
+
+    def forget_others(self, known: frozenset[VmId]) -> None:
+        """Forget the holders that are not in the view any more."""
+        for key, move in list(self._moves.items()):
+            if key[1] not in known:
+                del self._moves[key]
+            elif move.target not in known:
+                move.target = None
+
+    def _completions(
+        self, database: DatabaseId, ranked: Sequence[ServingDaemon]
+    ) -> list[Completion | None]:
+        first = self._loads.holder_load(ranked[0].vm, database)
+        # Other holders tell nothing about statements that they do not run.
+        service_s = 0.0 if first is None else first.service_s
+        return [
+            completion_at(self._loads, daemon.vm, database, service_s)
+            for daemon in ranked
+        ]
+
+    def _update_move(
+        self,
+        database: DatabaseId,
+        ranked: Sequence[ServingDaemon],
+        completions: Sequence[Completion | None],
+    ) -> _Move:
+        """Let the share that leaves the first holder take a due step."""
+        key = (database, ranked[0].vm)
+        move = self._moves.get(key)
+        if move is None:
+            move = self._moves[key] = self._new_move(key)
+        index = self._target_index(move, ranked, completions)
+        first = completions[0]
+        other = completions[index] if index else None
+        direction = self._direction(move, first, other)
+        now_s = self._clock.now_s()
+        if index and ranked[index].vm != move.target:
+            if move.share.value:
+                # The share of a holder that is gone must not jump to another.
+                direction = Direction.RETURN_UNKNOWN
+            elif direction is Direction.MOVE:
+                move.target = ranked[index].vm
+        if move.share.value:
+            move.used_s = now_s
+        if move.share.update(direction, now_s, self._settings.max_share):
+            _log_share(key, move, direction, first, other)
+        return move
+
+    def _new_move(self, key: _Key) -> _Move:
+        if len(self._moves) >= _MAX_SHARES:
+            del self._moves[next(iter(self._moves))]
+        offset = hash_fraction(f'{self._own}/{key[0]}/{key[1]}')
+        return _Move(MovedShare(self._settings, offset))
+
+    def _target_index(
+        self,
+        move: _Move,
+        ranked: Sequence[ServingDaemon],
+        completions: Sequence[Completion | None],
+    ) -> int:
+        """Return the holder that statements move to, 0 for none."""
+        hold_s = self._clock.now_s() - move.used_s
+        if move.target is not None and hold_s < self._settings.target_hold_s:
+            for index in range(1, len(ranked)):
+                if ranked[index].vm == move.target:
+                    return index
+        known = [
+            (completion.expected_s, index)
+            for index, completion in enumerate(completions)
+            if index and completion is not None and completion.has_room
+        ]
+        return min(known)[1] if known else 0
+
+    def _direction(
+        self,
+        move: _Move,
+        first: Completion | None,
+        other: Completion | None,
+    ) -> Direction:
+        if first is None or other is None:
+            return Direction.RETURN_UNKNOWN
+        gain_s = first.expected_s - other.expected_s
+        needed_s = margin_s(self._settings, first, other)
+        if gain_s > needed_s:
+            # Older figures do not show what the last step changed.
+            since_step_s = self._clock.now_s() - move.share.stepped_s
+            is_seen = max(first.age_s, other.age_s) < since_step_s
+            may_move = other.has_room and is_seen
+            return Direction.MOVE if may_move else Direction.KEEP
+        if gain_s < _RETURN_MARGIN * needed_s:
+            return Direction.RETURN
+        return Direction.KEEP
+
+    def _other_holder(
+        self,
+        database: DatabaseId,
+        account: AccountId,
+        ranked: Sequence[ServingDaemon],
+        completions: Sequence[Completion | None],
+        move: _Move,
+    ) -> int:
+        """Return the holder for a statement because of the load, or 0."""
+        fraction = _account_fraction(database, account, move.share.value)
+        if completions[0] is None or not self._is_turn(move.turn, fraction):
+            return 0
+        for index in range(1, len(ranked)):
+            if ranked[index].vm == move.target:
+                return index if completions[index] is not None else 0
+        return 0
+
+    def _further_holder(
+        self,
+        database: DatabaseId,
+        account: AccountId,
+        ranked: Sequence[ServingDaemon],
+        completions: Sequence[Completion | None],
+        turn: int,
+    ) -> int:
+        """Return the holder for a statement of a hot account, or 0."""
+        fraction = self._hot.moved_share(database, account)
+        if not self._is_turn(turn, fraction):
+            return 0
+        holders = self._hot.holders(database, account)
+        further = range(1, min(max(holders, 2), len(ranked)))
+        index = further[int(turn * fraction) % len(further)]
+        first, other = completions[0], completions[index]
+        if first is None or other is None:
+            return 0
+        loss_s = other.expected_s - first.expected_s
+        is_worse = loss_s > margin_s(self._settings, first, other)
+        return index if other.has_room and not is_worse else 0
+
+    def _is_turn(self, turn: int, fraction: float) -> bool:
+        """Tell whether a statement is among the part that moves."""
+        if fraction <= 0.0:
+            return False
+        # Daemons with few statements must not all begin with the same turn.
+        offset = hash_fraction(self._own)
+        before = math.floor(turn * fraction + offset)
+        return math.floor((turn + 1) * fraction + offset) > before
+
+
+def _account_fraction(
+    database: DatabaseId, account: AccountId, share: float
+) -> float:
+    """Return the part of the statements of one account that moves.
+
+    All daemons move the same accounts first, so that few accounts have
+    connections at two holders. The mean over the accounts is the share.
+    """
+    if share <= 0.0:
+        return 0.0
+    place = hash_fraction(f'{database}/{account}') * (1.0 - _ACCOUNT_SPAN)
+    return min(max((share - place) / _ACCOUNT_SPAN, 0.0), 1.0)
+
+
+def _log_share(
+    key: _Key,
+    move: _Move,
+    direction: Direction,
+    first: Completion | None,
+    other: Completion | None,
+) -> None:
+    log_event(
+        'holder_share_changed',
+        database=key[0],
+        vm=key[1],
+        other_vm=move.target,
+        share=round(move.share.value, 3),
+        direction=direction.value,
+        expected_ms=_milliseconds(first),
+        other_expected_ms=_milliseconds(other),
+    )
+
+
+def _milliseconds(completion: Completion | None) -> float | None:
+    if completion is None:
+        return None
+    return round(completion.expected_s * 1000, 1)
--- a/libs/holders/siskinsail_holders/_directory.py
+++ b/libs/holders/siskinsail_holders/_directory.py
@@ -1,7 +1,6 @@
 """Directory of the daemons that hold connections to databases."""
 
 from collections.abc import Sequence
-import hashlib
 import math
 
 from siskinsail_catalogue import BackendServer
@@ -12,6 +11,7 @@
 from siskinsail_types import ServiceId
 from siskinsail_types import VmId
 
+from ._hashing import hash_bytes
 from ._settings import HolderSettings
 
 _Site = tuple[ServiceId, DataCentreId]
@@ -51,6 +51,9 @@
         self._accounts: frozenset[tuple[AccountId, float]] = frozenset()
         self._holder_counts: dict[AccountId, int] = {}
         self._assigned: dict[_Site, int] = {}
+        self._is_assigned: dict[
+            tuple[ServiceId, DataCentreId, AccountId], bool
+        ] = {}
         self._holders: dict[
             tuple[ServiceId, DataCentreId, AccountId],
             tuple[ServingDaemon, ...],
@@ -77,6 +80,7 @@
             return
         self._assigned.clear()
         self._holders.clear()
+        self._is_assigned.clear()
         if rates != self._accounts:
             self._accounts = rates
             self._holder_counts = self._count_holders(dict(rates))
@@ -124,6 +128,18 @@
             count = self._assigned[site] = self._count_assigned(*site)
         return count
 
+    def is_assigned(self, server: BackendServer, account: AccountId) -> bool:
+        """Tell whether this daemon holds a database for an account."""
+        key = (server.group, server.data_centre, account)
+        is_assigned = self._is_assigned.get(key)
+        if is_assigned is None:
+            shared = self._ranked_holders(*key[:2])
+            is_assigned = self._is_holder(
+                shared[: self._settings.per_database], server.group, account
+            )
+            self._is_assigned[key] = is_assigned
+        return is_assigned
+
     def _set_daemons(self, daemons: tuple[ServingDaemon, ...]) -> None:
         self._daemons = daemons
         self._ranked.clear()
@@ -154,16 +170,20 @@
         if all(daemon.vm != self._own for daemon in shared):
             return 0
         return sum(
-            self._own
-            in [
-                daemon.vm
-                for daemon in _rank(shared, f'{service}/{account}')[
-                    : self._holder_counts.get(account, 1)
-                ]
-            ]
+            self._is_holder(shared, service, account)
             for account, _ in self._accounts
         )
 
+    def _is_holder(
+        self,
+        shared: Sequence[ServingDaemon],
+        service: ServiceId,
+        account: AccountId,
+    ) -> bool:
+        count = self._holder_counts.get(account, 1)
+        ranked = _rank(shared, f'{service}/{account}')
+        return self._own in [daemon.vm for daemon in ranked[:count]]
+
     def _ranked_holders(
         self, service: ServiceId, data_centre: DataCentreId
     ) -> tuple[ServingDaemon, ...]:
@@ -191,4 +211,4 @@
 
 
 def _score(vm: VmId, key: str) -> bytes:
-    return hashlib.blake2b(f'{vm}/{key}'.encode(), digest_size=8).digest()
+    return hash_bytes(f'{vm}/{key}')
--- a/libs/statements/siskinsail_statements/_forwarder.py
+++ b/libs/statements/siskinsail_statements/_forwarder.py
@@ -4,6 +4,7 @@
 
 import anyio
 import anyio.abc
+from prometheus_client import CollectorRegistry
 
 from siskinsail_backend import DatabaseError
 from siskinsail_catalogue import BackendServer
@@ -13,6 +14,7 @@
 from siskinsail_holders import HolderDirectory
 from siskinsail_holders import HolderHealth
 from siskinsail_holders import HolderSettings
+from siskinsail_load import LoadTable
 from siskinsail_net import Network
 from siskinsail_net import PeerCallError
 from siskinsail_net import PeerClient
@@ -31,6 +33,7 @@
 from ._forwarding_messages import FORWARD_METHOD
 from ._forwarding_messages import ForwardedAnswer
 from ._forwarding_messages import ForwardedCall
+from ._load_balancer import HolderLoadBalancer
 
 # Ten round trips between regions, in which a first connection is established.
 _CONNECT_WAIT_S = 0.3
@@ -190,6 +193,9 @@
         self._clients = clients
         self._directory = HolderDirectory(settings, own)
         self._health = HolderHealth(settings, clock)
+        self._balancer: HolderLoadBalancer | None = None
+        if settings.balances_load:
+            self._balancer = HolderLoadBalancer(settings, own, clock)
         self._clock = clock
         self._view: View | None = None
 
@@ -198,21 +204,40 @@
         """Source of time."""
         return self._clock
 
+    @property
+    def loads(self) -> LoadTable | None:
+        """Recent load of the holders, None if it is not considered."""
+        return None if self._balancer is None else self._balancer.loads
+
+    def register_metrics(self, registry: CollectorRegistry) -> None:
+        """Create the metrics of the load, if it is considered."""
+        if self._balancer is not None:
+            self._balancer.register_metrics(registry)
+
     def has_holders(self, server: BackendServer) -> bool:
         """Tell whether any daemon holds connections to a database."""
         self._update()
         return bool(self._directory.holders(server, AccountId('')))
 
     def candidates(
-        self, server: BackendServer, account: AccountId
+        self,
+        server: BackendServer,
+        account: AccountId,
+        *,
+        is_sent: bool = False,
     ) -> tuple[ServingDaemon, ...]:
         """Return the holders to call, best first.
 
         The result is empty if the statements should run on this daemon.
+
+        Parameters
+        ----------
+        is_sent : bool
+            Whether a statement is sent according to the result.
         """
         self._update()
         candidates: list[ServingDaemon] = []
-        for daemon in self._directory.holders(server, account):
+        for daemon in self._ordered(server, account, is_sent):
             if daemon.vm == self._own:
                 break
             if self._is_usable(daemon):
@@ -227,7 +252,21 @@
         server = self._views.view.databases.get(database)
         if server is None:
             return 0
-        return self._directory.assigned_accounts(server)
+        assigned = self._directory.assigned_accounts(server)
+        if self._balancer is None:
+            return assigned
+        return assigned + self._balancer.guests.count(database)
+
+    def record_served(self, database: DatabaseId, account: AccountId) -> None:
+        """Record that another daemon sends statements of an account here."""
+        if self._balancer is None:
+            return
+        self._update()
+        server = self._views.view.databases.get(database)
+        if server is not None and not self._directory.is_assigned(
+            server, account
+        ):
+            self._balancer.guests.record(database, account)
 
     async def call(
         self, daemon: ServingDaemon, call: ForwardedCall, timeout_s: float
@@ -250,6 +289,7 @@
         ):
             self._record_failure(daemon, 'no connection')
             raise HolderUnavailableError(f'no connection to {daemon.vm}')
+        sent_s = self._clock.now_s()
         try:
             payload = await client.call(
                 FORWARD_METHOD, encode_call(call), timeout_s
@@ -261,12 +301,33 @@
                 self._record_failure(daemon, str(error))
             raise HolderLostError(str(error)) from error
         self._health.record_answer(daemon.vm)
+        if self._balancer is not None:
+            call_s = self._clock.now_s() - sent_s
+            self._balancer.record_answer(daemon.vm, call, answer, call_s)
         return answer
 
     def avoid(self, daemon: ServingDaemon, reason: str) -> None:
         """Avoid a holder that refuses to run statements."""
         self._record_failure(daemon, reason)
 
+    def _ordered(
+        self, server: BackendServer, account: AccountId, is_sent: bool
+    ) -> tuple[ServingDaemon, ...]:
+        """Return the holders of an account, best first."""
+        holders = self._directory.holders(server, account)
+        if self._balancer is None:
+            return holders
+        count = self._settings.per_database
+        usable = [
+            daemon
+            for daemon in holders[:count]
+            if daemon.vm == self._own or self._is_usable(daemon)
+        ]
+        shared = self._balancer.order(
+            server.database, account, usable, is_sent=is_sent
+        )
+        return (*shared, *holders[count:])
+
     def _is_usable(self, daemon: ServingDaemon) -> bool:
         if self._health.is_avoided(daemon.vm):
             return False
@@ -283,6 +344,7 @@
             return
         self._view = view
         self._directory.update(view)
-        self._health.forget_others(
-            frozenset(daemon.vm for daemon in self._directory.daemons)
-        )
+        known = frozenset(daemon.vm for daemon in self._directory.daemons)
+        self._health.forget_others(known)
+        if self._balancer is not None:
+            self._balancer.forget_others(known)
--- a/libs/statements/siskinsail_statements/_forwarding_messages.py
+++ b/libs/statements/siskinsail_statements/_forwarding_messages.py
@@ -125,6 +125,14 @@
     transaction: int = 0
     is_timeout: bool = False
     reason: NotRunReason = NotRunReason.NONE
+    has_load: bool = False
+    load_running: int = 0
+    load_wait_micros: int = 0
+    load_service_micros: int = 0
+    load_free: int = 0
+    load_refused_permille: int = 0
+    spent_micros: int = 0
+    account_wait_micros: int = 0
 
     @property
     def position(self) -> Position | None:
--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -35,6 +35,9 @@
 from ._held_transactions import end_transaction
 from ._held_transactions import HeldTransaction
 from ._held_transactions import HeldTransactions
+from ._holder_loads import HolderLoads
+from ._load_figures import with_account_wait
+from ._load_figures import with_load
 from ._metrics import StatementMetrics
 from ._operation import DatabaseTarget
 from ._operation import OpenTransaction
@@ -86,6 +89,8 @@
         Source of time.
     metrics : StatementMetrics
         Counts forwarded statements.
+    loads : HolderLoads or None
+        Figures that the answers carry; None for answers without figures.
     """
 
     def __init__(
@@ -97,6 +102,7 @@
         sampler: PositionSampler,
         clock: Clock,
         metrics: StatementMetrics,
+        loads: HolderLoads | None = None,
     ) -> None:
         self._views = views
         self._pools = pools
@@ -105,6 +111,7 @@
         self._sampler = sampler
         self._clock = clock
         self._metrics = metrics
+        self._loads = loads
         self._transactions = HeldTransactions(clock)
         self._running = 0
         self._phase = StopPhase.SERVING
@@ -155,8 +162,10 @@
             If the payload is not a call.
         """
         call = decode_call(payload)
+        received_s = self._clock.now_s()
         if self._phase >= StopPhase.DRAINING and not call.transaction:
-            return encode_answer(not_run(NotRunReason.DRAINING, 'draining'))
+            answer = not_run(NotRunReason.DRAINING, 'draining')
+            return self._encode(call, answer, received_s)
         self._running += 1
         try:
             answer = await self._actions[call.action](caller, call)
@@ -165,6 +174,19 @@
         self._metrics.forwarded.labels(
             call.action.value, answer.outcome.value
         ).inc()
+        return self._encode(call, answer, received_s)
+
+    def _encode(
+        self, call: ForwardedCall, answer: ForwardedAnswer, received_s: float
+    ) -> bytes:
+        """Encode an answer with the load of its database."""
+        if self._loads is None:
+            return encode_answer(answer)
+        self._loads.record_answer(call.database, answer)
+        load = self._loads.load(call.database)
+        if load is not None:
+            spent_s = self._clock.now_s() - received_s
+            answer = with_load(answer, load, spent_s)
         return encode_answer(answer)
 
     async def _run_single(
@@ -180,8 +202,10 @@
             operation, target, send, operation.deadline_s
         )
         if isinstance(attempt, Success):
-            return answered(attempt.unwrap())
-        return self._failed(operation, target, attempt.failure())
+            answer = answered(attempt.unwrap())
+        else:
+            answer = self._failed(operation, target, attempt.failure())
+        return with_account_wait(answer, operation.waited_s)
 
     async def _begin(
         self, caller: VmId, call: ForwardedCall
@@ -197,7 +221,8 @@
             operation, target, send, operation.deadline_s, kept
         )
         if not isinstance(attempt, Success):
-            return self._failed(operation, target, attempt.failure())
+            answer = self._failed(operation, target, attempt.failure())
+            return with_account_wait(answer, operation.waited_s)
         held = HeldTransaction(
             caller,
             call.service,
@@ -208,7 +233,8 @@
             call.request_id,
         )
         number = self._transactions.add(held)
-        return answered(attempt.unwrap(), number)
+        answer = answered(attempt.unwrap(), number)
+        return with_account_wait(answer, operation.waited_s)
 
     async def _run_in_transaction(
         self, caller: VmId, call: ForwardedCall
@@ -341,6 +367,7 @@
         self, call: ForwardedCall, variables: SessionVariables
     ) -> Operation:
         now_s = self._clock.now_s()
+        self._pools.record_served(call.database, call.account)
         session_position = call.session_position
         consistency = Consistency.LATEST
         if not call.needs_primary:
--- a/libs/statements/siskinsail_statements/_operation.py
+++ b/libs/statements/siskinsail_statements/_operation.py
@@ -58,6 +58,8 @@
     needs_samples : bool
         Whether this daemon needs position samples for such reads, since it
         sends them to a replica itself.
+    waited_s : float
+        Wait of the last attempt for a connection of this daemon, in seconds.
     """
 
     request_id: RequestId
@@ -69,6 +71,7 @@
     attempts: int = 0
     served_by: str = ''
     needs_samples: bool = False
+    waited_s: float = 0.0
 
     @property
     def service(self) -> ServiceId:
--- a/libs/statements/siskinsail_statements/_replicas.py
+++ b/libs/statements/siskinsail_statements/_replicas.py
@@ -9,6 +9,7 @@
 from siskinsail_backend import serving_replicas
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import View
+from siskinsail_load import LoadSource
 from siskinsail_types import Clock
 from siskinsail_types import DatabaseId
 from siskinsail_types import DataCentreId
@@ -67,6 +68,8 @@
         One-way latency to a data centre, in seconds.
     clock : Clock
         Source of time.
+    loads : LoadSource or None
+        Recent load of the databases; None if it is not considered.
     """
 
     def __init__(
@@ -74,10 +77,12 @@
         find_pool: Callable[[DatabaseId], StatementPool | None],
         latency_s: Callable[[DataCentreId], float],
         clock: Clock,
+        loads: LoadSource | None = None,
     ) -> None:
         self._find_pool = find_pool
         self._latency_s = latency_s
         self._clock = clock
+        self._loads = loads
         self._states: dict[DatabaseId, _ReplicaState] = {}
 
     def choose(
@@ -155,12 +160,23 @@
         self, server: BackendServer, pool: StatementPool, state: _ReplicaState
     ) -> tuple[bool, float]:
         is_avoided = self._clock.now_s() < state.avoid_until_s
-        # The statements in flight from this process are an estimate of the
-        # load of the replica.
-        load = pool.connection_demand / max(server.slots, 1)
-        cost_s = (
-            2 * self._latency_s(server.data_centre)
-            + load * state.mean_statement_s
-            + pool.expected_wait_s
-        )
-        return is_avoided, cost_s
+        latency_s = 2 * self._latency_s(server.data_centre)
+        return is_avoided, latency_s + self._delay_s(server, pool, state)
+
+    def _delay_s(
+        self, server: BackendServer, pool: StatementPool, state: _ReplicaState
+    ) -> float:
+        """Return the expected delay because of the load, in seconds.
+
+        Without recent figures of the holders, the statements in flight from
+        this process are an estimate of the load of the replica.
+        """
+        slots = max(server.slots, 1)
+        loads = self._loads
+        load = None if loads is None else loads.database_load(server.database)
+        if load is None:
+            in_flight = pool.connection_demand / slots
+            return in_flight * state.mean_statement_s + pool.expected_wait_s
+        # The figures do not show what this process sent since they arrived.
+        running = max(load.running, pool.connection_demand)
+        return running / slots * load.service_s + load.wait_s
--- a/libs/statements/siskinsail_statements/_routed_pool.py
+++ b/libs/statements/siskinsail_statements/_routed_pool.py
@@ -91,7 +91,9 @@
         not this daemon. A holder has its own queue.
         """
         if self._forwarder is not None and not self._local.is_closed:
-            holders = self._forwarder.candidates(self._server, waiter.account)
+            holders = self._forwarder.candidates(
+                self._server, waiter.account, is_sent=True
+            )
             if holders:
                 self._forwarded_count += 1
                 return Success(
@@ -169,6 +171,11 @@
             for database, count in demand.items()
         }
 
+    def record_served(self, database: DatabaseId, account: AccountId) -> None:
+        """Record that another daemon sends statements of an account here."""
+        if self._forwarder is not None:
+            self._forwarder.record_served(database, account)
+
     def apply_allowances(self) -> None:
         """Make each pool apply its allowance if it has changed."""
         self._pools.apply_allowances()
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -30,6 +30,7 @@
 from ._context import SessionContext
 from ._driver import DatabaseDriver
 from ._forwarder import Forwarder
+from ._holder_loads import HolderLoads
 from ._holder_service import HolderService
 from ._metrics import StatementMetrics
 from ._outcome import StatementError
@@ -124,7 +125,15 @@
         self._metrics = metrics
         self._pools = RoutedPools(pools, forwarder)
         primaries = PrimaryFinder(views, self._pools.pool, clock)
-        replicas = ReplicaSelector(self._pools.pool, settings.latency_s, clock)
+        loads = None if forwarder is None else forwarder.loads
+        holder_loads: HolderLoads | None = None
+        if forwarder is not None and loads is not None:
+            holder_loads = HolderLoads(self._pools, clock)
+            loads.set_local(holder_loads.load)
+            forwarder.register_metrics(registry)
+        replicas = ReplicaSelector(
+            self._pools.pool, settings.latency_s, clock, loads
+        )
         runner = StatementRunner(
             settings, views, primaries, replicas, evidence, clock, metrics
         )
@@ -137,6 +146,7 @@
             self._sampler,
             clock,
             metrics,
+            holder_loads,
         )
         self._admission = SessionAdmission(settings, views, limiter, clock)
         self._context = SessionContext(
--- a/libs/statements/siskinsail_statements/_statement_sender.py
+++ b/libs/statements/siskinsail_statements/_statement_sender.py
@@ -119,7 +119,9 @@
             operation.received_s + policy.latency_objective_s,
             policy.priority,
         )
+        asked_s = self._clock.now_s()
         acquired = await pool.acquire(waiter)
+        operation.waited_s = self._clock.now_s() - asked_s
         if isinstance(acquired, Failure):
             return Failure(acquired.failure())
         connection = acquired.unwrap()
--- a/libs/statements/siskinsail_statements/forwarding.capnp
+++ b/libs/statements/siskinsail_statements/forwarding.capnp
@@ -98,4 +98,17 @@
   isTimeout @11 :Bool;
   # Why the statement did not run.
   reason @12 :Reason;
+  # Load of the database at the holder, if there are figures: expected wait
+  # for a connection, mean time at the database, statements that run,
+  # connections that are idle or may be opened, and refused statements.
+  hasLoad @13 :Bool;
+  loadRunning @14 :UInt16;
+  loadWaitMicros @15 :UInt32;
+  loadServiceMicros @16 :UInt32;
+  loadFree @17 :UInt16;
+  loadRefusedPermille @18 :UInt16;
+  # Time that the holder spent on the call, and the part of it in which the
+  # statement waited for a connection.
+  spentMicros @19 :UInt32;
+  accountWaitMicros @20 :UInt32;
 }
