--- a/libs/holders/siskinsail_holders/_balance.py
+++ b/libs/holders/siskinsail_holders/_balance.py
@@ -309,7 +309,8 @@
     """Return the part of the statements of one account that moves.
 
     All daemons move the same accounts first, so that few accounts have
-    connections at two holders. The mean over the accounts is the share.
+    connections at two holders. The first and the last steps of the share
+    move fewer statements than those between them.
     """
     if share <= 0.0:
         return 0.0
