--- a/libs/holders/tests/test_directory.py
+++ b/libs/holders/tests/test_directory.py
@@ -192,3 +192,19 @@
     assert sum(count > 0 for count in assigned.values()) == (
         SETTINGS.per_database
     )
+
+
+def test_an_account_is_assigned_to_its_configured_holders_only():
+    """Guards against an account that is counted twice, or not at all."""
+    accounts = _accounts(20)
+    daemons = _daemons(9)
+    for account in accounts:
+        holder = _first(_directory('x', daemons, accounts), account.name)
+        assigned = [
+            daemon.vm
+            for daemon in daemons
+            if _directory(daemon.vm, daemons, accounts).is_assigned(
+                _server(), account.name
+            )
+        ]
+        assert assigned == [holder]
--- a/libs/statements/tests/holder_fleet.py
+++ b/libs/statements/tests/holder_fleet.py
@@ -2,6 +2,7 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from dataclasses import replace
 
 import anyio
 import anyio.lowlevel
@@ -25,6 +26,18 @@
 from siskinsail_types import TransportError
 
 DATA_CENTRE = 'a'
+# Both accounts have half of the rates and one holder each.
+HOLDERS = HolderSettings(data_centre_share=1.0, account_share=0.6)
+# Steps and windows are short, so that tests see many of them.
+BALANCED = replace(
+    HOLDERS,
+    balances_load=True,
+    share_step_s=0.02,
+    return_step_s=0.02,
+    hot_window_s=0.05,
+    hot_windows=2,
+    calm_s=0.5,
+)
 
 
 @dataclass
@@ -107,7 +120,7 @@
 class Daemon:
     """One daemon with its own view, connections and service."""
 
-    def __init__(self, fleet, name, connections, settings):
+    def __init__(self, fleet, name, connections, settings, holders):
         self.name = name
         self.views = Views()
         self.connections = connections
@@ -119,8 +132,7 @@
             CLOCK,
         )
         self.forwarder = Forwarder(
-            # Both accounts have half of the rates and one holder each.
-            HolderSettings(data_centre_share=1.0, account_share=0.6),
+            holders,
             name,
             self.views,
             LinkClients(fleet, name),
@@ -151,12 +163,16 @@
     All databases and daemons are in one data centre.
     """
 
-    def __init__(self, tasks, names, connections, **settings):
+    def __init__(self, tasks, names, connections, holders, **settings):
         self.tasks = tasks
         self.group = FakeGroup(tasks, connections)
         self.daemons = {
             name: Daemon(
-                self, name, connections, StatementSettings(**settings)
+                self,
+                name,
+                connections,
+                StatementSettings(**settings),
+                holders,
             )
             for name in names
         }
@@ -227,10 +243,14 @@
 
 
 @asynccontextmanager
-async def new_fleet(names=('a', 'b', 'c'), connections=4, **settings):
+async def new_fleet(
+    names=('a', 'b', 'c'), connections=4, holder_settings=HOLDERS, **settings
+):
     """Run the daemons until the end of the block."""
     async with anyio.create_task_group() as tasks:
-        fleet = HolderFleet(tasks, names, connections, **settings)
+        fleet = HolderFleet(
+            tasks, names, connections, holder_settings, **settings
+        )
         fleet.start()
         with anyio.fail_after(2):
             while any(
--- a/libs/statements/tests/test_holders.py
+++ b/libs/statements/tests/test_holders.py
@@ -7,6 +7,8 @@
 import random
 
 import anyio
+from holder_fleet import BALANCED
+from holder_fleet import HOLDERS
 from holder_fleet import new_fleet
 import pytest
 from statement_group import KEYS
@@ -373,8 +375,9 @@
         assert sum(demands) == len(KEYS)
 
 
+@pytest.mark.parametrize('holder_settings', [HOLDERS, BALANCED])
 @pytest.mark.parametrize('seed', range(8))
-async def test_random_faults_keep_every_promise(seed):
+async def test_random_faults_keep_every_promise(seed, holder_settings):
     """Guards against doubled writes and refusals that are not true.
 
     Links fail at random while callers write, alone and in transactions.
@@ -399,7 +402,8 @@
         else:
             doubted.append(request_id)
 
-    async with new_fleet(('a', 'b', 'c', 'd')) as fleet:
+    names = ('a', 'b', 'c', 'd')
+    async with new_fleet(names, holder_settings=holder_settings) as fleet:
         for number in range(25):
             for name in fleet.daemons:
                 for link in fleet.links_to(name):
