Spread the steps of daemons that begin together

The offsets of the first step and of the period cancelled each other, so that all daemons took the second step at the same moment. The first step now waits for a part of the period.

--- a/libs/holders/siskinsail_holders/_moved_share.py
+++ b/libs/holders/siskinsail_holders/_moved_share.py
@@ -64,9 +64,10 @@
             Whether the part has changed.
         """
         if self._is_new:
-            # The first step waits for its time like every other one.
+            # Daemons that begin together take the first step one by one.
             self._is_new = False
-            self._stepped_s = now_s - self._offset * self._step_s(direction)
+            ahead = 1.0 - self._offset
+            self._stepped_s = now_s - ahead * self._step_s(direction)
         if now_s - self._stepped_s < self._step_s(direction):
             return False
         value = self._next_value(direction, limit)
@@ -77,7 +78,7 @@
         return True
 
     def _step_s(self, direction: Direction) -> float:
-        # Daemons that started together would step together otherwise.
+        # With equal times the daemons would step together again later.
         if direction is Direction.RETURN:
             step_s = self._settings.return_step_s
         else:
--- a/libs/holders/tests/balance_side.py
+++ b/libs/holders/tests/balance_side.py
@@ -38,6 +38,11 @@
         choice = self.balance.choose(DATABASE, account, holders, is_sent=True)
         return choice.holders[0].vm
 
+    @property
+    def moved_share(self):
+        """The share of the statements that leaves the first holder."""
+        return self.balance._moves[DATABASE, 'h0'].share.value
+
     def shares(self, accounts=100, holders=HOLDERS):
         """Return the part of the statements of each holder."""
         names = [
