--- a/libs/holders/siskinsail_holders/_balance.py
+++ b/libs/holders/siskinsail_holders/_balance.py
@@ -29,6 +29,13 @@
 # amount, the statements of one account leave.
 _ACCOUNT_SPAN = 0.5
 _MAX_SHARES = 4096
+# Its multiples modulo 1 are spread evenly, so that any few statements in a
+# row contain about the part that is to move.
+_GOLDEN_RATIO = (math.sqrt(5.0) - 1.0) / 2.0
+# Time between two evaluations of the figures for a database and its holder.
+_EVALUATION_S = 0.05
+# A share of which no statement was sent for longer begins anew.
+_FORGET_SHARE_S = 10.0
 
 _Key = tuple[DatabaseId, VmId]
 
@@ -69,6 +76,8 @@
         Where they go.
     used_s : float
         Time at which the target last received a part.
+    evaluated_s : float
+        Time of the last evaluation of the figures.
     turn : int
         Number of the statements of which only a part leaves.
     """
@@ -76,6 +85,7 @@
     share: MovedShare
     target: VmId | None = None
     used_s: float = -math.inf
+    evaluated_s: float = -math.inf
     turn: int = 0
 
 
@@ -111,6 +121,8 @@
         self._loads = loads
         self._clock = clock
         self._hot = HotAccounts(settings, own, clock)
+        # Daemons with few statements must not all begin with the same turn.
+        self._turn_offset = hash_fraction(own)
         self._moves: dict[_Key, _Move] = {}
 
     @property
@@ -144,17 +156,12 @@
         ranked = tuple(holders)
         if len(ranked) < 2:
             return HolderChoice(ranked)
-        completions = self._completions(database, ranked)
-        move = self._update_move(database, ranked, completions)
+        move = self._updated_move(database, ranked)
         reason = MoveReason.HOT_ACCOUNT
-        index = self._further_holder(
-            database, account, ranked, completions, move.turn
-        )
+        index = self._further_holder(database, account, ranked, move.turn)
         if index == 0:
             reason = MoveReason.LOAD
-            index = self._other_holder(
-                database, account, ranked, completions, move
-            )
+            index = self._other_holder(database, account, ranked, move)
         if is_sent:
             move.turn += 1
         if index == 0:
@@ -181,17 +188,29 @@
             for daemon in ranked
         ]
 
-    def _update_move(
-        self,
-        database: DatabaseId,
-        ranked: Sequence[ServingDaemon],
-        completions: Sequence[Completion | None],
+    def _updated_move(
+        self, database: DatabaseId, ranked: Sequence[ServingDaemon]
     ) -> _Move:
-        """Let the share that leaves the first holder take a due step."""
+        """Return what leaves the first holder, after a step if one is due."""
         key = (database, ranked[0].vm)
         move = self._moves.get(key)
         if move is None:
             move = self._moves[key] = self._new_move(key)
+        now_s = self._clock.now_s()
+        elapsed_s = now_s - move.evaluated_s
+        if elapsed_s < _EVALUATION_S:
+            return move
+        if elapsed_s > _FORGET_SHARE_S:
+            move.share = self._new_share(key)
+        move.evaluated_s = now_s
+        self._update_move(key, move, ranked)
+        return move
+
+    def _update_move(
+        self, key: _Key, move: _Move, ranked: Sequence[ServingDaemon]
+    ) -> None:
+        """Let the share that leaves the first holder take a due step."""
+        completions = self._completions(key[0], ranked)
         index = self._target_index(move, ranked, completions)
         first = completions[0]
         other = completions[index] if index else None
@@ -207,13 +226,15 @@
             move.used_s = now_s
         if move.share.update(direction, now_s, self._settings.max_share):
             _log_share(key, move, direction, first, other)
-        return move
 
     def _new_move(self, key: _Key) -> _Move:
         if len(self._moves) >= _MAX_SHARES:
             del self._moves[next(iter(self._moves))]
+        return _Move(self._new_share(key))
+
+    def _new_share(self, key: _Key) -> MovedShare:
         offset = hash_fraction(f'{self._own}/{key[0]}/{key[1]}')
-        return _Move(MovedShare(self._settings, offset))
+        return MovedShare(self._settings, offset)
 
     def _target_index(
         self,
@@ -259,16 +280,19 @@
         database: DatabaseId,
         account: AccountId,
         ranked: Sequence[ServingDaemon],
-        completions: Sequence[Completion | None],
         move: _Move,
     ) -> int:
         """Return the holder for a statement because of the load, or 0."""
         fraction = _account_fraction(database, account, move.share.value)
-        if completions[0] is None or not self._is_turn(move.turn, fraction):
+        if self._place(move.turn) >= fraction:
+            return 0
+        # Without figures of both holders the order by hashing applies.
+        if self._loads.holder_load(ranked[0].vm, database) is None:
             return 0
         for index in range(1, len(ranked)):
             if ranked[index].vm == move.target:
-                return index if completions[index] is not None else 0
+                load = self._loads.holder_load(ranked[index].vm, database)
+                return 0 if load is None else index
         return 0
 
     def _further_holder(
@@ -276,31 +300,27 @@
         database: DatabaseId,
         account: AccountId,
         ranked: Sequence[ServingDaemon],
-        completions: Sequence[Completion | None],
         turn: int,
     ) -> int:
         """Return the holder for a statement of a hot account, or 0."""
         fraction = self._hot.moved_share(database, account)
-        if not self._is_turn(turn, fraction):
+        place = self._place(turn)
+        if place >= fraction:
             return 0
         holders = self._hot.holders(database, account)
         further = range(1, min(max(holders, 2), len(ranked)))
-        index = further[int(turn * fraction) % len(further)]
-        first, other = completions[0], completions[index]
+        index = further[int(place / fraction * len(further))]
+        completions = self._completions(database, (ranked[0], ranked[index]))
+        first, other = completions
         if first is None or other is None:
             return 0
         loss_s = other.expected_s - first.expected_s
         is_worse = loss_s > margin_s(self._settings, first, other)
         return index if other.has_room and not is_worse else 0
 
-    def _is_turn(self, turn: int, fraction: float) -> bool:
-        """Tell whether a statement is among the part that moves."""
-        if fraction <= 0.0:
-            return False
-        # Daemons with few statements must not all begin with the same turn.
-        offset = hash_fraction(self._own)
-        before = math.floor(turn * fraction + offset)
-        return math.floor((turn + 1) * fraction + offset) > before
+    def _place(self, turn: int) -> float:
+        """Return the place of a statement; the part below a share moves."""
+        return (turn * _GOLDEN_RATIO + self._turn_offset) % 1.0
 
 
 def _account_fraction(
--- a/libs/holders/tests/test_balance.py
+++ b/libs/holders/tests/test_balance.py
@@ -205,6 +205,16 @@
         assert side.shares()['h0'] == 1.0
 
 
+def test_a_share_is_forgotten_without_statements():
+    """Guards against a share of long ago that meets new statements."""
+    side = BalanceSide()
+    side.run(5.0, {**ALL_IDLE, 'h0': QUEUED})
+    assert side.moved_share > 0.5
+    side.clock.advance(11.0)
+    side.record(ALL_IDLE)
+    assert side.shares()['h0'] == 1.0
+
+
 def test_a_false_idle_holder_gets_one_step_before_its_calls_show_it():
     """Guards against figures that look idle while the calls take long."""
     side = BalanceSide()
