Decide by load figures when they arrive

A daemon that sends few statements had the figures of two holders at hardly any moment, and returned statements whenever one was absent.

--- a/libs/holders/siskinsail_holders/_balance.py
+++ b/libs/holders/siskinsail_holders/_balance.py
@@ -35,7 +35,7 @@
 # Time between two evaluations of the figures for a database and its holder.
 _EVALUATION_S = 0.05
 # A share of which no statement was sent for longer begins anew.
-_FORGET_SHARE_S = 10.0
+_FORGET_SHARE_S = 30.0
 
 _Key = tuple[DatabaseId, VmId]
 
@@ -78,6 +78,10 @@
         Time at which the target last received a part.
     evaluated_s : float
         Time of the last evaluation of the figures.
+    decided_s : float
+        Time of the last evaluation with the figures of both holders.
+    first_s : float
+        Expected completion at the first holder at that time, in seconds.
     turn : int
         Number of the statements of which only a part leaves.
     """
@@ -86,6 +90,8 @@
     target: VmId | None = None
     used_s: float = -math.inf
     evaluated_s: float = -math.inf
+    decided_s: float = -math.inf
+    first_s: float = math.inf
     turn: int = 0
 
 
@@ -124,6 +130,8 @@
         # Daemons with few statements must not all begin with the same turn.
         self._turn_offset = hash_fraction(own)
         self._moves: dict[_Key, _Move] = {}
+        # Holders of each database for which statements were sent.
+        self._ranked: dict[DatabaseId, tuple[ServingDaemon, ...]] = {}
 
     @property
     def hot_accounts(self) -> HotAccounts:
@@ -169,6 +177,20 @@
         others = (*ranked[:index], *ranked[index + 1 :])
         return HolderChoice((ranked[index], *others), reason)
 
+    def evaluate(self, database: DatabaseId, holder: VmId) -> None:
+        """Decide by the figures that have just arrived from a holder.
+
+        A daemon that sends few statements has the figures of two holders at
+        hardly any other moment.
+        """
+        ranked = self._ranked.get(database, ())
+        for first in ranked:
+            key = (database, first.vm)
+            move = self._moves.get(key)
+            if move is not None and holder in (first.vm, move.target):
+                others = [one for one in ranked if one is not first]
+                self._update_move(key, move, (first, *others))
+
     def forget_others(self, known: frozenset[VmId]) -> None:
         """Forget the holders that are not in the view any more."""
         for key, move in list(self._moves.items()):
@@ -176,6 +198,7 @@
                 del self._moves[key]
             elif move.target not in known:
                 move.target = None
+        self._ranked.clear()
 
     def _completions(
         self, database: DatabaseId, ranked: Sequence[ServingDaemon]
@@ -189,13 +212,14 @@
         ]
 
     def _updated_move(
-        self, database: DatabaseId, ranked: Sequence[ServingDaemon]
+        self, database: DatabaseId, ranked: tuple[ServingDaemon, ...]
     ) -> _Move:
         """Return what leaves the first holder, after a step if one is due."""
         key = (database, ranked[0].vm)
         move = self._moves.get(key)
         if move is None:
             move = self._moves[key] = self._new_move(key)
+        self._ranked[database] = ranked
         now_s = self._clock.now_s()
         elapsed_s = now_s - move.evaluated_s
         if elapsed_s < _EVALUATION_S:
@@ -261,13 +285,22 @@
         first: Completion | None,
         other: Completion | None,
     ) -> Direction:
+        now_s = self._clock.now_s()
         if first is None or other is None:
-            return Direction.RETURN_UNKNOWN
+            # What was decided before is only taken back.
+            if other is not None and other.expected_s > move.first_s:
+                return Direction.RETURN
+            unknown_s = now_s - move.decided_s
+            if unknown_s > self._settings.unknown_hold_s:
+                return Direction.RETURN_UNKNOWN
+            return Direction.KEEP
+        move.decided_s = now_s
+        move.first_s = first.expected_s
         gain_s = first.expected_s - other.expected_s
         needed_s = margin_s(self._settings, first, other)
         if gain_s > needed_s:
             # Older figures do not show what the last step changed.
-            since_step_s = self._clock.now_s() - move.share.stepped_s
+            since_step_s = now_s - move.share.stepped_s
             is_seen = max(first.age_s, other.age_s) < since_step_s
             may_move = other.has_room and is_seen
             return Direction.MOVE if may_move else Direction.KEEP
@@ -286,13 +319,9 @@
         fraction = _account_fraction(database, account, move.share.value)
         if self._place(move.turn) >= fraction:
             return 0
-        # Without figures of both holders the order by hashing applies.
-        if self._loads.holder_load(ranked[0].vm, database) is None:
-            return 0
         for index in range(1, len(ranked)):
             if ranked[index].vm == move.target:
-                load = self._loads.holder_load(ranked[index].vm, database)
-                return 0 if load is None else index
+                return index
         return 0
 
     def _further_holder(
--- a/libs/holders/siskinsail_holders/_moved_share.py
+++ b/libs/holders/siskinsail_holders/_moved_share.py
@@ -79,10 +79,10 @@
 
     def _step_s(self, direction: Direction) -> float:
         # With equal times the daemons would step together again later.
-        if direction is Direction.RETURN:
-            step_s = self._settings.return_step_s
-        else:
+        if direction is Direction.MOVE:
             step_s = self._settings.share_step_s
+        else:
+            step_s = self._settings.return_step_s
         return step_s * (0.75 + self._offset / 2)
 
     def _next_value(self, direction: Direction, limit: float) -> float:
--- a/libs/holders/siskinsail_holders/_settings.py
+++ b/libs/holders/siskinsail_holders/_settings.py
@@ -53,6 +53,9 @@
     max_share : float
         Maximum part of the statements that leave their holder. The rest
         keeps the figures of the holder fresh.
+    unknown_hold_s : float
+        Time without figures of both holders after which statements return,
+        in seconds. No further statements move meanwhile.
     target_hold_s : float
         Time for which statements that leave a holder again go to the same
         other holder, whose connections are still open, in seconds.
@@ -89,6 +92,7 @@
     share_step_s: float = 0.5
     return_step_s: float = 1.0
     max_share: float = 0.9
+    unknown_hold_s: float = 10.0
     target_hold_s: float = 30.0
     hot_wait_share: float = 0.1
     calm_wait_share: float = 0.03
--- a/libs/statements/siskinsail_statements/_load_balancer.py
+++ b/libs/statements/siskinsail_statements/_load_balancer.py
@@ -132,6 +132,7 @@
         )
         overhead_s = max(call_s - spent_s(answer), 0.0)
         self._loads.record_call(holder, overhead_s, is_refused=is_refused)
+        self._balance.evaluate(call.database, holder)
         if call.action in _WAITING_ACTIONS:
             self._balance.hot_accounts.record_wait(
                 call.database,
