Count the holders of a hot account at its holder

Most daemons send few statements of an account, so that none of them sees that it waits. The holder, which sees all of them, now measures the waits and states the number of holders in one byte of its answers; daemons follow in steps.

--- a/libs/holders/siskinsail_holders/_balance.py
+++ b/libs/holders/siskinsail_holders/_balance.py
@@ -17,8 +17,8 @@
 from ._completion import Completion
 from ._completion import completion_at
 from ._completion import margin_s
+from ._further_holders import FurtherHolders
 from ._hashing import hash_fraction
-from ._hot_accounts import HotAccounts
 from ._moved_share import Direction
 from ._moved_share import MovedShare
 from ._settings import HolderSettings
@@ -126,7 +126,7 @@
         self._own = own
         self._loads = loads
         self._clock = clock
-        self._hot = HotAccounts(settings, own, clock)
+        self._further = FurtherHolders(settings, own, clock)
         # Daemons with few statements must not all begin with the same turn.
         self._turn_offset = hash_fraction(own)
         self._moves: dict[_Key, _Move] = {}
@@ -134,9 +134,9 @@
         self._ranked: dict[DatabaseId, tuple[ServingDaemon, ...]] = {}
 
     @property
-    def hot_accounts(self) -> HotAccounts:
+    def further_holders(self) -> FurtherHolders:
         """Accounts with further holders because of their demand."""
-        return self._hot
+        return self._further
 
     @property
     def moved_shares(self) -> int:
@@ -332,17 +332,18 @@
         turn: int,
     ) -> int:
         """Return the holder for a statement of a hot account, or 0."""
-        fraction = self._hot.moved_share(database, account)
+        fraction = self._further.moved_share(database, account)
         place = self._place(turn)
         if place >= fraction:
             return 0
-        holders = self._hot.holders(database, account)
+        holders = self._further.holders(database, account)
         further = range(1, min(max(holders, 2), len(ranked)))
         index = further[int(place / fraction * len(further))]
         completions = self._completions(database, (ranked[0], ranked[index]))
         first, other = completions
         if first is None or other is None:
-            return 0
+            # The account needs the holder, and nothing speaks against it.
+            return index
         loss_s = other.expected_s - first.expected_s
         is_worse = loss_s > margin_s(self._settings, first, other)
         return index if other.has_room and not is_worse else 0
--- a/libs/holders/siskinsail_holders/_settings.py
+++ b/libs/holders/siskinsail_holders/_settings.py
@@ -98,6 +98,6 @@
     calm_wait_share: float = 0.03
     hot_window_s: float = 1.0
     hot_windows: int = 3
-    calm_s: float = 10.0
+    calm_s: float = 15.0
     max_hot_accounts: int = 1024
     guest_s: float = 10.0
--- a/libs/holders/tests/balance_side.py
+++ b/libs/holders/tests/balance_side.py
@@ -1,6 +1,7 @@
 """One daemon that chooses among three holders, for tests of the balance."""
 
 from siskinsail_catalogue import ServingDaemon
+from siskinsail_holders import AccountDemand
 from siskinsail_holders import HolderBalance
 from siskinsail_holders import HolderSettings
 from siskinsail_load import DatabaseLoad
@@ -22,6 +23,7 @@
         self.clock = clock or ManualClock()
         self.settings = HolderSettings(balances_load=True, **settings)
         self.loads = LoadTable(LoadSettings(), own, self.clock)
+        self.demand = AccountDemand(self.settings, self.clock)
         self.balance = HolderBalance(
             self.settings, own, self.loads, self.clock
         )
--- a/libs/holders/tests/test_balance.py
+++ b/libs/holders/tests/test_balance.py
@@ -123,6 +123,8 @@
             side.clock.advance(pause_s)
             side.record({holder: figures})
             side.balance.evaluate(DATABASE, holder)
+        # The next statement comes when the figures are old again.
+        side.clock.advance(2.0)
     assert (side.moved_share > 0.0) is moves
 
 
--- a/libs/statements/siskinsail_statements/_forwarder.py
+++ b/libs/statements/siskinsail_statements/_forwarder.py
@@ -11,6 +11,7 @@
 from siskinsail_catalogue import ServingDaemon
 from siskinsail_catalogue import View
 from siskinsail_catalogue import ViewSource
+from siskinsail_holders import AccountDemand
 from siskinsail_holders import HolderDirectory
 from siskinsail_holders import HolderHealth
 from siskinsail_holders import HolderSettings
@@ -209,10 +210,17 @@
         """Recent load of the holders, None if it is not considered."""
         return None if self._balancer is None else self._balancer.loads
 
-    def register_metrics(self, registry: CollectorRegistry) -> None:
+    @property
+    def settings(self) -> HolderSettings:
+        """Numbers of holders and how they are chosen."""
+        return self._settings
+
+    def register_metrics(
+        self, registry: CollectorRegistry, demand: AccountDemand
+    ) -> None:
         """Create the metrics of the load, if it is considered."""
         if self._balancer is not None:
-            self._balancer.register_metrics(registry)
+            self._balancer.register_metrics(registry, demand)
 
     def has_holders(self, server: BackendServer) -> bool:
         """Tell whether any daemon holds connections to a database."""
--- a/libs/statements/siskinsail_statements/_forwarding_messages.py
+++ b/libs/statements/siskinsail_statements/_forwarding_messages.py
@@ -132,7 +132,7 @@
     load_free: int = 0
     load_refused_permille: int = 0
     spent_micros: int = 0
-    account_wait_micros: int = 0
+    account_holders: int = 0
 
     @property
     def position(self) -> Position | None:
--- a/libs/statements/siskinsail_statements/_holder_loads.py
+++ b/libs/statements/siskinsail_statements/_holder_loads.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass
 
+from siskinsail_holders import AccountDemand
 from siskinsail_load import DatabaseLoad
 from siskinsail_types import Clock
 from siskinsail_types import DatabaseId
 
 from ._forwarding_messages import ForwardedAnswer
+from ._forwarding_messages import ForwardedCall
 from ._forwarding_messages import NotRunReason
 from ._routed_pool import RoutedPools
 
@@ -34,15 +36,30 @@
     ----------
     pools : RoutedPools
         Connections of this daemon.
+    demand : AccountDemand
+        Counts the holders that accounts need.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, pools: RoutedPools, clock: Clock) -> None:
+    def __init__(
+        self, pools: RoutedPools, demand: AccountDemand, clock: Clock
+    ) -> None:
         self._pools = pools
+        self._demand = demand
         self._clock = clock
         self._refusals: dict[DatabaseId, _Refusals] = {}
 
+    def record_wait(self, call: ForwardedCall, waited_s: float) -> None:
+        """Record how long a statement waited for a connection."""
+        self._demand.record_wait(
+            call.database, call.account, waited_s, call.objective_s
+        )
+
+    def account_holders(self, call: ForwardedCall) -> int:
+        """Return how many holders the account of a call needs."""
+        return self._demand.holders(call.database, call.account)
+
     def record_answer(
         self, database: DatabaseId, answer: ForwardedAnswer
     ) -> None:
--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -5,6 +5,7 @@
 
 import anyio
 from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
 from siskinsail_catalogue import ViewSource
@@ -12,6 +13,7 @@
 from siskinsail_types import Clock
 from siskinsail_types import Consistency
 from siskinsail_types import LeaseState
+from siskinsail_types import RequestError
 from siskinsail_types import VmId
 
 from ._connection import ExchangeResult
@@ -36,7 +38,6 @@
 from ._held_transactions import HeldTransaction
 from ._held_transactions import HeldTransactions
 from ._holder_loads import HolderLoads
-from ._load_figures import with_account_wait
 from ._load_figures import with_load
 from ._metrics import StatementMetrics
 from ._operation import DatabaseTarget
@@ -186,9 +187,29 @@
         load = self._loads.load(call.database)
         if load is not None:
             spent_s = self._clock.now_s() - received_s
-            answer = with_load(answer, load, spent_s)
+            holders = self._loads.account_holders(call)
+            answer = with_load(answer, load, spent_s, holders)
         return encode_answer(answer)
 
+    def _record_wait(
+        self,
+        call: ForwardedCall,
+        operation: Operation,
+        attempt: Result[Reply, AttemptError],
+    ) -> None:
+        """Record the wait for a connection.
+
+        A refusal counts like an answer at the objective, also if it was made
+        at once.
+        """
+        if self._loads is None:
+            return
+        is_refused = isinstance(attempt, Failure) and isinstance(
+            attempt.failure(), RequestError
+        )
+        refused_s = call.objective_s if is_refused else 0.0
+        self._loads.record_wait(call, max(operation.waited_s, refused_s))
+
     async def _run_single(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
@@ -201,11 +222,10 @@
         attempt = await self._sender.send_to(
             operation, target, send, operation.deadline_s
         )
+        self._record_wait(call, operation, attempt)
         if isinstance(attempt, Success):
-            answer = answered(attempt.unwrap())
-        else:
-            answer = self._failed(operation, target, attempt.failure())
-        return with_account_wait(answer, operation.waited_s)
+            return answered(attempt.unwrap())
+        return self._failed(operation, target, attempt.failure())
 
     async def _begin(
         self, caller: VmId, call: ForwardedCall
@@ -220,9 +240,9 @@
         attempt = await self._sender.send_to(
             operation, target, send, operation.deadline_s, kept
         )
+        self._record_wait(call, operation, attempt)
         if not isinstance(attempt, Success):
-            answer = self._failed(operation, target, attempt.failure())
-            return with_account_wait(answer, operation.waited_s)
+            return self._failed(operation, target, attempt.failure())
         held = HeldTransaction(
             caller,
             call.service,
@@ -233,8 +253,7 @@
             call.request_id,
         )
         number = self._transactions.add(held)
-        answer = answered(attempt.unwrap(), number)
-        return with_account_wait(answer, operation.waited_s)
+        return answered(attempt.unwrap(), number)
 
     async def _run_in_transaction(
         self, caller: VmId, call: ForwardedCall
--- a/libs/statements/siskinsail_statements/_load_balancer.py
+++ b/libs/statements/siskinsail_statements/_load_balancer.py
@@ -7,6 +7,7 @@
 from prometheus_client import Gauge
 
 from siskinsail_catalogue import ServingDaemon
+from siskinsail_holders import AccountDemand
 from siskinsail_holders import GuestAccounts
 from siskinsail_holders import HolderBalance
 from siskinsail_holders import HolderSettings
@@ -17,16 +18,12 @@
 from siskinsail_types import DatabaseId
 from siskinsail_types import VmId
 
-from ._forwarding_messages import ForwardedAction
 from ._forwarding_messages import ForwardedAnswer
 from ._forwarding_messages import ForwardedCall
 from ._forwarding_messages import NotRunReason
-from ._load_figures import account_wait_s
 from ._load_figures import load_of
 from ._load_figures import spent_s
 
-# Calls that wait for a connection at the holder.
-_WAITING_ACTIONS = frozenset((ForwardedAction.RUN, ForwardedAction.BEGIN))
 # Refusals that do not depend on the connections of the holder.
 _OTHER_REFUSALS = frozenset(
     (
@@ -69,7 +66,9 @@
         """Accounts that this daemon serves because of the load."""
         return self._guests
 
-    def register_metrics(self, registry: CollectorRegistry) -> None:
+    def register_metrics(
+        self, registry: CollectorRegistry, demand: AccountDemand
+    ) -> None:
         """Create the metrics of the load and of its decisions."""
         self._moved = Counter(
             'siskinsail_holder_moved_statements',
@@ -91,8 +90,13 @@
                 lambda: self._balance.moved_shares,
             ),
             'siskinsail_holder_hot_accounts': (
-                'Number of accounts and databases with further holders.',
-                lambda: self._balance.hot_accounts.count,
+                'Number of accounts and databases that need further holders'
+                ' than this one.',
+                lambda: demand.hot_accounts,
+            ),
+            'siskinsail_holder_spread_accounts': (
+                'Number of accounts and databases spread over their holders.',
+                self._balance.further_holders.__len__,
             ),
         }
         for name, (text, read) in gauges.items():
@@ -133,13 +137,9 @@
         overhead_s = max(call_s - spent_s(answer), 0.0)
         self._loads.record_call(holder, overhead_s, is_refused=is_refused)
         self._balance.evaluate(call.database, holder)
-        if call.action in _WAITING_ACTIONS:
-            self._balance.hot_accounts.record_wait(
-                call.database,
-                call.account,
-                account_wait_s(answer),
-                call.objective_s,
-            )
+        self._balance.further_holders.record(
+            call.database, call.account, holder, answer.account_holders
+        )
 
     def forget_others(self, known: frozenset[VmId]) -> None:
         """Forget the holders that are not in the view any more."""
--- a/libs/statements/siskinsail_statements/_load_figures.py
+++ b/libs/statements/siskinsail_statements/_load_figures.py
@@ -13,7 +13,10 @@
 
 
 def with_load(
-    answer: ForwardedAnswer, load: DatabaseLoad, spent_s: float
+    answer: ForwardedAnswer,
+    load: DatabaseLoad,
+    spent_s: float,
+    account_holders: int,
 ) -> ForwardedAnswer:
     """Return an answer with the figures of its database.
 
@@ -21,6 +24,8 @@
     ----------
     spent_s : float
         Time that the holder spent on the call, in seconds.
+    account_holders : int
+        Number of holders that the account of the call needs.
     """
     return msgspec.structs.replace(
         answer,
@@ -31,15 +36,7 @@
         load_free=min(load.free_connections, _MAX_UINT16),
         load_refused_permille=round(load.refused_share * _PERMILLE),
         spent_micros=_microseconds(spent_s),
-    )
-
-
-def with_account_wait(
-    answer: ForwardedAnswer, waited_s: float
-) -> ForwardedAnswer:
-    """Return an answer with the wait of its statement for a connection."""
-    return msgspec.structs.replace(
-        answer, account_wait_micros=_microseconds(waited_s)
+        account_holders=account_holders,
     )
 
 
@@ -61,10 +58,5 @@
     return answer.spent_micros / _MICROSECONDS
 
 
-def account_wait_s(answer: ForwardedAnswer) -> float:
-    """Return the wait of a statement for a connection, in seconds."""
-    return answer.account_wait_micros / _MICROSECONDS
-
-
 def _microseconds(seconds: float) -> int:
     return min(max(round(seconds * _MICROSECONDS), 0), _MAX_UINT32)
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -17,6 +17,7 @@
 from siskinsail_backend import QueueLimits
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import ViewSource
+from siskinsail_holders import AccountDemand
 from siskinsail_limits import RateLimiter
 from siskinsail_types import AccountId
 from siskinsail_types import Clock
@@ -128,9 +129,10 @@
         loads = None if forwarder is None else forwarder.loads
         holder_loads: HolderLoads | None = None
         if forwarder is not None and loads is not None:
-            holder_loads = HolderLoads(self._pools, clock)
+            demand = AccountDemand(forwarder.settings, clock)
+            holder_loads = HolderLoads(self._pools, demand, clock)
             loads.set_local(holder_loads.load)
-            forwarder.register_metrics(registry)
+            forwarder.register_metrics(registry, demand)
         replicas = ReplicaSelector(
             self._pools.pool, settings.latency_s, clock, loads
         )
--- a/libs/statements/siskinsail_statements/forwarding.capnp
+++ b/libs/statements/siskinsail_statements/forwarding.capnp
@@ -107,8 +107,8 @@
   loadServiceMicros @16 :UInt32;
   loadFree @17 :UInt16;
   loadRefusedPermille @18 :UInt16;
-  # Time that the holder spent on the call, and the part of it in which the
-  # statement waited for a connection.
+  # Time that the holder spent on the call.
   spentMicros @19 :UInt32;
-  accountWaitMicros @20 :UInt32;
+  # Number of holders that the account needs; 0 or 1 for this one alone.
+  accountHolders @20 :UInt8;
 }
