--- a/libs/holders/siskinsail_holders/_balance.py
+++ b/libs/holders/siskinsail_holders/_balance.py
@@ -164,6 +164,7 @@
         ranked = tuple(holders)
         if len(ranked) < 2:
             return HolderChoice(ranked)
+        self._ranked[database] = ranked
         move = self._updated_move(database, ranked)
         reason = MoveReason.HOT_ACCOUNT
         index = self._further_holder(database, account, ranked, move.turn)
@@ -185,11 +186,12 @@
         """
         ranked = self._ranked.get(database, ())
         for first in ranked:
-            key = (database, first.vm)
-            move = self._moves.get(key)
-            if move is not None and holder in (first.vm, move.target):
+            move = self._moves.get((database, first.vm))
+            if move is None:
+                continue
+            if not move.share.value or holder in (first.vm, move.target):
                 others = [one for one in ranked if one is not first]
-                self._update_move(key, move, (first, *others))
+                self._updated_move(database, (first, *others))
 
     def forget_others(self, known: frozenset[VmId]) -> None:
         """Forget the holders that are not in the view any more."""
@@ -219,7 +221,6 @@
         move = self._moves.get(key)
         if move is None:
             move = self._moves[key] = self._new_move(key)
-        self._ranked[database] = ranked
         now_s = self._clock.now_s()
         elapsed_s = now_s - move.evaluated_s
         if elapsed_s < _EVALUATION_S:
