--- a/libs/holders/siskinsail_holders/_balance.py
+++ b/libs/holders/siskinsail_holders/_balance.py
@@ -82,6 +82,8 @@
         Time of the last evaluation with the figures of both holders.
     first_s : float
         Expected completion at the first holder at that time, in seconds.
+    gain_since_s : float
+        Time since which each evaluation found a gain, infinite for none.
     turn : int
         Number of the statements of which only a part leaves.
     """
@@ -92,6 +94,7 @@
     evaluated_s: float = -math.inf
     decided_s: float = -math.inf
     first_s: float = math.inf
+    gain_since_s: float = math.inf
     turn: int = 0
 
 
@@ -300,11 +303,17 @@
         gain_s = first.expected_s - other.expected_s
         needed_s = margin_s(self._settings, first, other)
         if gain_s > needed_s:
+            move.gain_since_s = min(move.gain_since_s, now_s)
+            delay_s = self._settings.gaining_s + move.share.begin_delay_s
+            is_lasting = now_s - move.gain_since_s >= delay_s
+            if not move.share.value and not is_lasting:
+                return Direction.KEEP
             # Older figures do not show what the last step changed.
             since_step_s = now_s - move.share.stepped_s
             is_seen = max(first.age_s, other.age_s) < since_step_s
             may_move = other.has_room and is_seen
             return Direction.MOVE if may_move else Direction.KEEP
+        move.gain_since_s = math.inf
         if gain_s < _RETURN_MARGIN * needed_s:
             return Direction.RETURN
         return Direction.KEEP
--- a/libs/holders/siskinsail_holders/_moved_share.py
+++ b/libs/holders/siskinsail_holders/_moved_share.py
@@ -38,7 +38,6 @@
         self._offset = offset
         self._value = 0.0
         self._stepped_s = -math.inf
-        self._is_new = True
 
     @property
     def value(self) -> float:
@@ -50,6 +49,11 @@
         """Time of the last step, minus infinity before the first one."""
         return self._stepped_s if self._value else -math.inf
 
+    @property
+    def begin_delay_s(self) -> float:
+        """Time before the first step, which differs between daemons."""
+        return self._offset * self._settings.share_step_s
+
     def update(self, direction: Direction, now_s: float, limit: float) -> bool:
         """Take a step if one is due.
 
@@ -63,12 +67,7 @@
         bool
             Whether the part has changed.
         """
-        if self._is_new:
-            # Daemons that begin together take the first step one by one.
-            self._is_new = False
-            ahead = 1.0 - self._offset
-            self._stepped_s = now_s - ahead * self._step_s(direction)
-        if now_s - self._stepped_s < self._step_s(direction):
+        if self._value and now_s - self._stepped_s < self._step_s(direction):
             return False
         value = self._next_value(direction, limit)
         if value == self._value:
--- a/libs/holders/siskinsail_holders/_settings.py
+++ b/libs/holders/siskinsail_holders/_settings.py
@@ -43,6 +43,9 @@
     age_margin : float
         Seconds by which that gain must be greater for each second of the age
         of the figures.
+    gaining_s : float
+        Time for which that gain must last before the first statements move,
+        in seconds. A queue that varies by chance opens no connections.
     share_step : float
         Part of the statements that moves or returns at a time.
     share_step_s : float
@@ -88,6 +91,7 @@
     balances_load: bool = False
     connection_s: float = 0.012
     age_margin: float = 0.1
+    gaining_s: float = 0.5
     share_step: float = 0.1
     share_step_s: float = 0.5
     return_step_s: float = 1.0
--- a/libs/statements/tests/holder_fleet.py
+++ b/libs/statements/tests/holder_fleet.py
@@ -32,6 +32,7 @@
 BALANCED = replace(
     HOLDERS,
     balances_load=True,
+    gaining_s=0.02,
     share_step_s=0.02,
     return_step_s=0.02,
     hot_window_s=0.05,
