--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -17,6 +17,7 @@
 from siskinsail_backend import QueueLimits
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import ViewSource
+from siskinsail_holders import AccountDemand
 from siskinsail_limits import RateLimiter
 from siskinsail_types import AccountId
 from siskinsail_types import Clock
@@ -30,6 +31,7 @@
 from ._context import SessionContext
 from ._driver import DatabaseDriver
 from ._forwarder import Forwarder
+from ._holder_loads import HolderLoads
 from ._holder_service import HolderService
 from ._metrics import StatementMetrics
 from ._outcome import StatementError
@@ -124,7 +126,16 @@
         self._metrics = metrics
         self._pools = RoutedPools(pools, forwarder)
         primaries = PrimaryFinder(views, self._pools.pool, clock)
-        replicas = ReplicaSelector(self._pools.pool, settings.latency_s, clock)
+        loads = None if forwarder is None else forwarder.loads
+        holder_loads: HolderLoads | None = None
+        if forwarder is not None and loads is not None:
+            demand = AccountDemand(forwarder.settings, clock)
+            holder_loads = HolderLoads(self._pools, demand, clock)
+            loads.set_local(holder_loads.load)
+            forwarder.register_metrics(registry, demand)
+        replicas = ReplicaSelector(
+            self._pools.pool, settings.latency_s, clock, loads
+        )
         runner = StatementRunner(
             settings, views, primaries, replicas, evidence, clock, metrics
         )
@@ -137,6 +148,7 @@
             self._sampler,
             clock,
             metrics,
+            holder_loads,
         )
         self._admission = SessionAdmission(settings, views, limiter, clock)
         self._context = SessionContext(
