Add the decision which reads leave the data centre

Reads left their region by a fixed latency cost only. siskinsail_locality orders the replicas of a read by distance and moves a share of reads away in steps, from load figures; ReplicaSelector calls it where StatementSettings has locality settings and a load source is given.

--- /dev/null
+++ b/libs/locality/siskinsail_locality/_placement.py
@@ -0,0 +1,358 @@
+"""Order of the replicas for a read, and the share of reads that leave."""
+
+from collections.abc import Sequence
+import math
+from typing import NamedTuple
+
+from siskinsail_load import DatabaseLoad
+from siskinsail_load import LoadSource
+from siskinsail_types import Clock
+from siskinsail_types import Consistency
+from siskinsail_types import DatabaseId
+from siskinsail_types import ServiceId
+
+from ._candidates import Distance
+from ._candidates import distance_of
+from ._candidates import path_cost_s
+from ._candidates import ReadCandidate
+from ._candidates import ReadClass
+from ._metrics import KnownLoads
+from ._metrics import LocalityMetrics
+from ._pressure import completion_s
+from ._pressure import plausible_load
+from ._pressure import Pressure
+from ._pressure import pressure_of
+from ._settings import LocalitySettings
+from ._share import Spread
+from ._share import SteppedShare
+from ._share import Trend
+
+
+class _Target(NamedTuple):
+    """A database outside, with what decides whether reads are sent there."""
+
+    candidate: ReadCandidate
+    pressure: Pressure
+    cost_s: float
+
+
+class _Assessment(NamedTuple):
+    """What the figures call for.
+
+    Parameters
+    ----------
+    home : _Target or None
+        The near database with most room, None without figures.
+    targets : tuple of DatabaseId
+        Databases that reads may be sent to, among which they are divided.
+    excluded : frozenset of DatabaseId
+        Databases that no read may be sent to.
+    unmeasured : tuple of DatabaseId
+        Databases that need a read to obtain their figures.
+    loads : dict
+        Figures that the assessment rests on.
+    """
+
+    trend: Trend
+    home: _Target | None
+    targets: tuple[DatabaseId, ...]
+    excluded: frozenset[DatabaseId]
+    unmeasured: tuple[DatabaseId, ...]
+    loads: KnownLoads
+
+
+class _ClassState:
+    """Share of the reads of one class, and the targets of these reads."""
+
+    def __init__(self, settings: LocalitySettings) -> None:
+        self.share = SteppedShare(settings, settings.max_share)
+        self._hold_s = settings.hold_s
+        self._measurements = Spread(settings.phase)
+        self._targets: tuple[DatabaseId, ...] = ()
+        self._turns = 0
+        self._home_known_s = -math.inf
+
+    def is_usable(self, now_s: float) -> bool:
+        """Tell whether near figures are known or were known recently."""
+        return now_s - self._home_known_s < self._hold_s
+
+    def update(self, assessment: _Assessment, now_s: float) -> bool:
+        """Apply an assessment; return whether the share has changed."""
+        if assessment.home is not None:
+            self._home_known_s = now_s
+        self._targets = assessment.targets or tuple(
+            database
+            for database in self._targets
+            if database not in assessment.excluded
+        )
+        return self.share.update(assessment.trend, now_s)
+
+    def next_target(self) -> DatabaseId | None:
+        """Return the target of the next read that leaves."""
+        return self._next_of(self._targets)
+
+    def next_measured(
+        self, unmeasured: tuple[DatabaseId, ...], share: float
+    ) -> DatabaseId | None:
+        """Return the database that the next read measures, if any."""
+        if unmeasured and self._measurements.selects_next(share):
+            return self._next_of(unmeasured)
+        return None
+
+    def _next_of(self, databases: tuple[DatabaseId, ...]) -> DatabaseId | None:
+        if not databases:
+            return None
+        self._turns += 1
+        return databases[self._turns % len(databases)]
+
+
+class ReadPlacement:
+    """Orders the replicas of a service for a read, from load figures.
+
+    Reads run on the nearest databases. A share of them leaves while these
+    are overloaded for the objective of the class and others have room. Only
+    the order of the replicas is decided here: none is added or removed.
+
+    Parameters
+    ----------
+    settings : LocalitySettings
+        Thresholds, steps and prices.
+    loads : LoadSource
+        Recent load of the databases.
+    clock : Clock
+        Source of time.
+    metrics : LocalityMetrics
+        Receives the shares and the reads.
+    """
+
+    def __init__(
+        self,
+        settings: LocalitySettings,
+        loads: LoadSource,
+        clock: Clock,
+        metrics: LocalityMetrics,
+    ) -> None:
+        self._settings = settings
+        self._loads = loads
+        self._clock = clock
+        self._metrics = metrics
+        self._states: dict[tuple[ServiceId, Consistency], _ClassState] = {}
+
+    def share(self, service: ServiceId, consistency: Consistency) -> float:
+        """Return the share of the reads of a class that leave."""
+        state = self._states.get((service, consistency))
+        return 0.0 if state is None else state.share.value
+
+    def order(
+        self, read_class: ReadClass, candidates: Sequence[ReadCandidate]
+    ) -> list[DatabaseId]:
+        """Return the databases for the next read, best first.
+
+        Parameters
+        ----------
+        candidates : sequence of ReadCandidate
+            Databases that may serve the read, in the order that applies
+            without load figures. It is kept if no database is near or the
+            figures of the near ones are unknown.
+        """
+        default = [candidate.database for candidate in candidates]
+        distances = [
+            distance_of(candidate.data_centre, self._settings)
+            for candidate in candidates
+        ]
+        nearest = min(distances, default=Distance.OTHER_REGION)
+        if nearest is Distance.OTHER_REGION:
+            return default
+        near = [
+            candidate
+            for candidate, distance in zip(candidates, distances, strict=True)
+            if distance is nearest
+        ]
+        remote = [one for one in candidates if one not in near]
+        state = self._state(read_class)
+        assessment = self._assess(read_class, near, remote)
+        now_s = self._clock.now_s()
+        self._update(read_class, state, assessment, now_s)
+        if not state.is_usable(now_s):
+            return default
+        ordered = sorted(
+            candidates,
+            key=lambda one: (
+                one.is_avoided,
+                distance_of(one.data_centre, self._settings),
+            ),
+        )
+        first = self._first(state, assessment)
+        if first is not None:
+            ordered.sort(key=lambda one: one.database != first)
+        chosen = distance_of(ordered[0].data_centre, self._settings)
+        self._metrics.count_read(read_class, chosen.name.lower())
+        return [candidate.database for candidate in ordered]
+
+    def _state(self, read_class: ReadClass) -> _ClassState:
+        key = (read_class.service, read_class.consistency)
+        state = self._states.get(key)
+        if state is None:
+            state = self._states[key] = _ClassState(self._settings)
+        return state
+
+    def _update(
+        self,
+        read_class: ReadClass,
+        state: _ClassState,
+        assessment: _Assessment,
+        now_s: float,
+    ) -> None:
+        if state.update(assessment, now_s):
+            self._metrics.record_share(
+                'leave',
+                read_class,
+                state.share.value,
+                assessment.trend.value,
+                assessment.loads,
+            )
+
+    def _first(
+        self, state: _ClassState, assessment: _Assessment
+    ) -> DatabaseId | None:
+        """Return the database that the next read leaves to, if it leaves."""
+        if state.share.selects_next():
+            return state.next_target()
+        return state.next_measured(
+            assessment.unmeasured, self._settings.measurement_share
+        )
+
+    def _assess(
+        self,
+        read_class: ReadClass,
+        near: Sequence[ReadCandidate],
+        remote: Sequence[ReadCandidate],
+    ) -> _Assessment:
+        """Return what the figures call for."""
+        loads = self._known_loads([*near, *remote])
+        home = self._best_near(read_class, near, loads)
+        known = [
+            self._target(read_class, candidate, loads[candidate.database])
+            for candidate in remote
+            if candidate.database in loads
+        ]
+        excluded = {one.database for one in remote if one.is_avoided} | {
+            target.candidate.database
+            for target in known
+            if target.pressure is Pressure.OVERLOADED
+        }
+        targets = [
+            target
+            for target in known
+            if target.candidate.database not in excluded
+        ]
+        unmeasured = [
+            candidate.database
+            for candidate in remote
+            if candidate.database not in loads
+            and candidate.database not in excluded
+        ]
+        trend = self._trend(home, targets, bool(unmeasured))
+        is_overloaded = (
+            home is not None and home.pressure is Pressure.OVERLOADED
+        )
+        return _Assessment(
+            trend,
+            home,
+            self._preferred(targets),
+            frozenset(excluded),
+            tuple(unmeasured) if is_overloaded else (),
+            loads,
+        )
+
+    def _known_loads(self, candidates: Sequence[ReadCandidate]) -> KnownLoads:
+        loads = {
+            candidate.database: plausible_load(self._loads, candidate.database)
+            for candidate in candidates
+        }
+        return {
+            database: load
+            for database, load in loads.items()
+            if load is not None
+        }
+
+    def _best_near(
+        self,
+        read_class: ReadClass,
+        near: Sequence[ReadCandidate],
+        loads: KnownLoads,
+    ) -> _Target | None:
+        """Return the near database with most room."""
+        known = [
+            self._target(
+                read_class,
+                candidate,
+                loads[candidate.database],
+                read_class.objective_s,
+            )
+            for candidate in near
+            if candidate.database in loads
+        ]
+        return min(known, key=self._rank, default=None)
+
+    def _target(
+        self,
+        read_class: ReadClass,
+        candidate: ReadCandidate,
+        load: DatabaseLoad,
+        objective_s: float | None = None,
+    ) -> _Target:
+        """Return the pressure and the cost of a database.
+
+        A database that reads are sent to is measured by the strictest
+        objective of the service: the lowest wait at which any of its own
+        reads leave.
+        """
+        limit_s = objective_s or read_class.service_objective_s
+        return _Target(
+            candidate,
+            pressure_of(load, candidate.slots, limit_s, self._settings),
+            completion_s(load, read_class.objective_s)
+            + path_cost_s(candidate, self._settings),
+        )
+
+    def _rank(self, target: _Target) -> tuple[Pressure, Distance, float]:
+        distance = distance_of(target.candidate.data_centre, self._settings)
+        return target.pressure, distance, target.cost_s
+
+    def _preferred(self, targets: Sequence[_Target]) -> tuple[DatabaseId, ...]:
+        """Return the targets with most room and, of these, the nearest.
+
+        Reads are divided among equal ones regardless of their cost, since
+        all daemons would otherwise change to the cheapest one together.
+        """
+        ranks = [self._rank(target)[:2] for target in targets]
+        best = min(ranks, default=None)
+        return tuple(
+            target.candidate.database
+            for target, rank in zip(targets, ranks, strict=True)
+            if rank == best
+        )
+
+    def _trend(
+        self,
+        home: _Target | None,
+        targets: Sequence[_Target],
+        has_unmeasured: bool,
+    ) -> Trend:
+        """Return where the figures move the share."""
+        if home is None:
+            return Trend.UNKNOWN
+        if home.pressure <= Pressure.BUSY:
+            return Trend.FALL
+        if not targets:
+            return Trend.UNKNOWN if has_unmeasured else Trend.STOP
+        best = min(targets, key=self._rank)
+        if best.pressure is Pressure.FULL or best.cost_s >= home.cost_s:
+            return Trend.FALL
+        if (
+            home.pressure is Pressure.OVERLOADED
+            and best.pressure is Pressure.ROOMY
+        ):
+            return Trend.RISE
+        return Trend.HOLD
--- a/libs/statements/siskinsail_statements/_replicas.py
+++ b/libs/statements/siskinsail_statements/_replicas.py
@@ -1,6 +1,7 @@
 """Selection of the replicas that a read is sent to."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 import math
 
@@ -10,6 +11,7 @@
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import View
 from siskinsail_types import Clock
+from siskinsail_types import Consistency
 from siskinsail_types import DatabaseId
 from siskinsail_types import DataCentreId
 from siskinsail_types import Position
@@ -17,6 +19,8 @@
 
 from ._connection import SharedConnection
 from ._ports import StatementPool
+from ._read_locality import RankedReplica
+from ._read_locality import ReadLocality
 
 # Time for which a replica is skipped after it lacked a position, and tried
 # after the others after it was overloaded.
@@ -67,6 +71,9 @@
         One-way latency to a data centre, in seconds.
     clock : Clock
         Source of time.
+    locality : ReadLocality or None
+        Decides which reads leave the data centre; None for the order of the
+        estimated times alone.
     """
 
     def __init__(
@@ -74,14 +81,20 @@
         find_pool: Callable[[DatabaseId], StatementPool | None],
         latency_s: Callable[[DataCentreId], float],
         clock: Clock,
+        locality: ReadLocality | None = None,
     ) -> None:
         self._find_pool = find_pool
         self._latency_s = latency_s
         self._clock = clock
+        self._locality = locality
         self._states: dict[DatabaseId, _ReplicaState] = {}
 
     def choose(
-        self, view: View, service: ServiceId, min_position: Position | None
+        self,
+        view: View,
+        service: ServiceId,
+        min_position: Position | None,
+        consistency: Consistency = Consistency.BOUNDED,
     ) -> list[StatementPool]:
         """Return the replicas to try, best first.
 
@@ -89,16 +102,49 @@
         out, since the primary has the position. Without a position all
         replicas are returned.
         """
-        ranked: list[tuple[tuple[bool, float], StatementPool]] = []
+        ranked: list[RankedReplica] = []
         for server, pool in serving_replicas(view, service, self._find_pool):
             state = self._state_of(server.database)
             if min_position is not None and self._is_known_to_lag(
                 state, min_position
             ):
                 continue
-            ranked.append((self._rank(server, pool, state), pool))
-        ranked.sort(key=lambda entry: entry[0])
-        return [pool for _, pool in ranked]
+            ranked.append(
+                RankedReplica(*self._rank(server, pool, state), server, pool)
+            )
+        ranked.sort(key=lambda replica: (replica.is_avoided, replica.cost_s))
+        if self._locality is not None:
+            ranked = self._locality.order(view, service, consistency, ranked)
+        return [replica.pool for replica in ranked]
+
+    def prefers_primary(
+        self,
+        view: View,
+        service: ServiceId,
+        consistency: Consistency,
+        primary: StatementPool,
+        replicas: Sequence[StatementPool],
+    ) -> bool:
+        """Tell whether a read runs on the primary before the replicas.
+
+        Parameters
+        ----------
+        primary : StatementPool
+            The primary, found under a lease.
+        replicas : sequence of StatementPool
+            The replicas that may serve the read.
+        """
+        server = view.databases.get(primary.database)
+        if self._locality is None or server is None:
+            return False
+        state = self._state_of(server.database)
+        candidate = RankedReplica(
+            *self._rank(server, primary, state), server, primary
+        )
+        servers = [view.databases[pool.database] for pool in replicas]
+        return self._locality.prefers_primary(
+            view, service, consistency, candidate, servers
+        )
 
     def record_answer(
         self, database: DatabaseId, position: Position | None, spent_s: float
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -199,7 +199,8 @@
         unanswered: set[DatabaseId] = set()
         while True:
             is_busy = False
-            for target in self._targets(operation, needs_primary):
+            targets = self._targets(operation, needs_primary)
+            for target in targets:
                 if (
                     target.pool.database in unanswered
                     and not target.is_primary
@@ -209,7 +210,9 @@
                     operation,
                     target,
                     send,
-                    self._attempt_deadline_s(operation, target),
+                    self._attempt_deadline_s(
+                        operation, target, target is targets[-1]
+                    ),
                     kept_connections,
                 )
                 if isinstance(attempt, Success):
@@ -270,9 +273,17 @@
         if bound is not None:
             targets = self._replica_targets(operation, bound)
         primary = self._primaries.find(operation.service)
-        if primary is not None and primary.can_serve:
-            targets.append(DatabaseTarget(primary, None, True))
-        return targets
+        if primary is None or not primary.can_serve:
+            return targets
+        is_first = bool(targets) and self._replicas.prefers_primary(
+            self._views.view,
+            operation.service,
+            operation.consistency,
+            primary,
+            [target.pool for target in targets],
+        )
+        target = DatabaseTarget(primary, None, True)
+        return [target, *targets] if is_first else [*targets, target]
 
     def _replica_targets(
         self, operation: Operation, bound: ReadBound
@@ -286,7 +297,10 @@
         targets = []
         operation.needs_samples = True
         for pool in self._replicas.choose(
-            self._views.view, operation.service, min_position
+            self._views.view,
+            operation.service,
+            min_position,
+            operation.consistency,
         ):
             is_forwarded = pool.forwards(operation.account)
             if is_forwarded:
@@ -296,9 +310,9 @@
         return targets
 
     def _attempt_deadline_s(
-        self, operation: Operation, target: DatabaseTarget
+        self, operation: Operation, target: DatabaseTarget, is_last: bool
     ) -> float:
-        if target.is_primary:
+        if target.is_primary and is_last:
             return operation.deadline_s
         attempt_s = (
             self._sender.remaining_s(operation) * self._settings.attempt_share
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -18,6 +18,7 @@
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import ViewSource
 from siskinsail_limits import RateLimiter
+from siskinsail_load import LoadSource
 from siskinsail_types import AccountId
 from siskinsail_types import Clock
 from siskinsail_types import ConnectionAllowance
@@ -34,6 +35,7 @@
 from ._metrics import StatementMetrics
 from ._outcome import StatementError
 from ._primaries import PrimaryFinder
+from ._read_locality import ReadLocality
 from ._replicas import LocalPool
 from ._replicas import LocalPools
 from ._replicas import ReplicaSelector
@@ -101,6 +103,9 @@
     forwarder : Forwarder or None
         Calls the daemons that hold connections; None if this daemon runs all
         statements itself.
+    loads : LoadSource or None
+        Recent load of the databases; without it, ``settings.locality`` has
+        no effect.
 
     Examples
     --------
@@ -119,12 +124,20 @@
         clock: Clock,
         registry: CollectorRegistry,
         forwarder: Forwarder | None = None,
+        loads: LoadSource | None = None,
     ) -> None:
         metrics = StatementMetrics(registry)
         self._metrics = metrics
         self._pools = RoutedPools(pools, forwarder)
         primaries = PrimaryFinder(views, self._pools.pool, clock)
-        replicas = ReplicaSelector(self._pools.pool, settings.latency_s, clock)
+        locality = None
+        if settings.locality is not None and loads is not None:
+            locality = ReadLocality(
+                settings.locality, loads, settings.latency_s, clock, registry
+            )
+        replicas = ReplicaSelector(
+            self._pools.pool, settings.latency_s, clock, locality
+        )
         runner = StatementRunner(
             settings, views, primaries, replicas, evidence, clock, metrics
         )
--- a/libs/statements/siskinsail_statements/_settings.py
+++ b/libs/statements/siskinsail_statements/_settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from siskinsail_locality import LocalitySettings
 from siskinsail_types import DataCentreId
 
 
@@ -54,6 +55,9 @@
     anonymous_rate, anonymous_burst : float
         Rate limit of this process for operations without an API key, in
         operations per second and in operations.
+    locality : LocalitySettings or None
+        Thresholds at which reads leave the data centre, None to order the
+        replicas by their estimated times alone.
     """
 
     latencies_s: Mapping[DataCentreId, float] = field(default_factory=dict)
@@ -71,6 +75,7 @@
     retry_reserve: float = 50.0
     anonymous_rate: float = 200.0
     anonymous_burst: float = 200.0
+    locality: LocalitySettings | None = None
 
     def latency_s(self, data_centre: DataCentreId) -> float:
         """Return the one-way latency to a data centre, in seconds."""
