--- a/libs/locality/siskinsail_locality/_metrics.py
+++ b/libs/locality/siskinsail_locality/_metrics.py
@@ -6,6 +6,7 @@
 
 from siskinsail_load import DatabaseLoad
 from siskinsail_telemetry import log_event
+from siskinsail_types import Consistency
 from siskinsail_types import DatabaseId
 
 from ._candidates import ReadClass
@@ -35,10 +36,17 @@
             ('consistency', 'destination'),
             registry=registry,
         )
+        # A look-up of a labelled counter takes longer than the decision.
+        self._counters: dict[tuple[Consistency, str], Counter] = {}
 
     def count_read(self, read_class: ReadClass, destination: str) -> None:
         """Count a read by the destination that is tried first."""
-        self._reads.labels(read_class.consistency.value, destination).inc()
+        key = (read_class.consistency, destination)
+        counter = self._counters.get(key)
+        if counter is None:
+            counter = self._reads.labels(key[0].value, destination)
+            self._counters[key] = counter
+        counter.inc()
 
     def record_share(
         self,
--- a/libs/locality/siskinsail_locality/_placement.py
+++ b/libs/locality/siskinsail_locality/_placement.py
@@ -9,6 +9,7 @@
 from siskinsail_types import Clock
 from siskinsail_types import Consistency
 from siskinsail_types import DatabaseId
+from siskinsail_types import DataCentreId
 from siskinsail_types import ServiceId
 
 from ._candidates import Distance
@@ -27,6 +28,8 @@
 from ._share import SteppedShare
 from ._share import Trend
 
+_DESTINATIONS = {distance: distance.name.lower() for distance in Distance}
+
 
 class _Target(NamedTuple):
     """A database outside, with what decides whether reads are sent there."""
@@ -137,6 +140,7 @@
         self._clock = clock
         self._metrics = metrics
         self._states: dict[tuple[ServiceId, Consistency], _ClassState] = {}
+        self._distances: dict[DataCentreId, Distance] = {}
 
     def share(self, service: ServiceId, consistency: Consistency) -> float:
         """Return the share of the reads of a class that leave."""
@@ -155,40 +159,38 @@
             without load figures. It is kept if no database is near or the
             figures of the near ones are unknown.
         """
+        nearest = min(
+            map(self._distance, candidates), default=Distance.OTHER_REGION
+        )
         default = [candidate.database for candidate in candidates]
-        distances = [
-            distance_of(candidate.data_centre, self._settings)
-            for candidate in candidates
-        ]
-        nearest = min(distances, default=Distance.OTHER_REGION)
         if nearest is Distance.OTHER_REGION:
             return default
-        near = [
-            candidate
-            for candidate, distance in zip(candidates, distances, strict=True)
-            if distance is nearest
-        ]
-        remote = [one for one in candidates if one not in near]
         state = self._state(read_class)
-        assessment = self._assess(read_class, near, remote)
+        assessment = self._assess(read_class, state, candidates, nearest)
         now_s = self._clock.now_s()
         self._update(read_class, state, assessment, now_s)
         if not state.is_usable(now_s):
             return default
+        first = self._first(state, assessment)
         ordered = sorted(
             candidates,
             key=lambda one: (
+                one.database != first,
                 one.is_avoided,
-                distance_of(one.data_centre, self._settings),
+                self._distance(one),
             ),
         )
-        first = self._first(state, assessment)
-        if first is not None:
-            ordered.sort(key=lambda one: one.database != first)
-        chosen = distance_of(ordered[0].data_centre, self._settings)
-        self._metrics.count_read(read_class, chosen.name.lower())
+        chosen = self._distance(ordered[0])
+        self._metrics.count_read(read_class, _DESTINATIONS[chosen])
         return [candidate.database for candidate in ordered]
 
+    def _distance(self, candidate: ReadCandidate) -> Distance:
+        distance = self._distances.get(candidate.data_centre)
+        if distance is None:
+            distance = distance_of(candidate.data_centre, self._settings)
+            self._distances[candidate.data_centre] = distance
+        return distance
+
     def _state(self, read_class: ReadClass) -> _ClassState:
         key = (read_class.service, read_class.consistency)
         state = self._states.get(key)
@@ -225,14 +227,38 @@
     def _assess(
         self,
         read_class: ReadClass,
-        near: Sequence[ReadCandidate],
-        remote: Sequence[ReadCandidate],
+        state: _ClassState,
+        candidates: Sequence[ReadCandidate],
+        nearest: Distance,
     ) -> _Assessment:
         """Return what the figures call for."""
-        loads = self._known_loads([*near, *remote])
+        near = [one for one in candidates if self._distance(one) is nearest]
+        loads = self._known_loads(near)
         home = self._best_near(read_class, near, loads)
+        if home is None or (
+            home.pressure <= Pressure.BUSY and not state.share.value
+        ):
+            trend = Trend.UNKNOWN if home is None else Trend.FALL
+            return _Assessment(trend, home, (), frozenset(), (), loads)
+        remote = [one for one in candidates if one not in near]
+        return self._assess_remote(read_class, home, remote, loads)
+
+    def _assess_remote(
+        self,
+        read_class: ReadClass,
+        home: _Target,
+        remote: Sequence[ReadCandidate],
+        near_loads: KnownLoads,
+    ) -> _Assessment:
+        """Return what the figures call for where reads may leave."""
+        loads = near_loads | self._known_loads(remote)
         known = [
-            self._target(read_class, candidate, loads[candidate.database])
+            self._target(
+                read_class,
+                candidate,
+                loads[candidate.database],
+                read_class.service_objective_s,
+            )
             for candidate in remote
             if candidate.database in loads
         ]
@@ -246,22 +272,18 @@
             for target in known
             if target.candidate.database not in excluded
         ]
-        unmeasured = [
+        unmeasured = tuple(
             candidate.database
             for candidate in remote
             if candidate.database not in loads
             and candidate.database not in excluded
-        ]
-        trend = self._trend(home, targets, bool(unmeasured))
-        is_overloaded = (
-            home is not None and home.pressure is Pressure.OVERLOADED
         )
         return _Assessment(
-            trend,
+            self._trend(home, targets, bool(unmeasured)),
             home,
             self._preferred(targets),
             frozenset(excluded),
-            tuple(unmeasured) if is_overloaded else (),
+            unmeasured if home.pressure is Pressure.OVERLOADED else (),
             loads,
         )
 
@@ -300,24 +322,26 @@
         read_class: ReadClass,
         candidate: ReadCandidate,
         load: DatabaseLoad,
-        objective_s: float | None = None,
+        objective_s: float,
     ) -> _Target:
         """Return the pressure and the cost of a database.
 
-        A database that reads are sent to is measured by the strictest
-        objective of the service: the lowest wait at which any of its own
-        reads leave.
+        Parameters
+        ----------
+        objective_s : float
+            Objective of the class for a near database. For others, it is the
+            strictest one of the service: the lowest wait at which any of
+            their own reads leave.
         """
-        limit_s = objective_s or read_class.service_objective_s
         return _Target(
             candidate,
-            pressure_of(load, candidate.slots, limit_s, self._settings),
+            pressure_of(load, candidate.slots, objective_s, self._settings),
             completion_s(load, read_class.objective_s)
             + path_cost_s(candidate, self._settings),
         )
 
     def _rank(self, target: _Target) -> tuple[Pressure, Distance, float]:
-        distance = distance_of(target.candidate.data_centre, self._settings)
+        distance = self._distance(target.candidate)
         return target.pressure, distance, target.cost_s
 
     def _preferred(self, targets: Sequence[_Target]) -> tuple[DatabaseId, ...]:
@@ -346,7 +370,7 @@
         if home.pressure <= Pressure.BUSY:
             return Trend.FALL
         if not targets:
-            return Trend.UNKNOWN if has_unmeasured else Trend.STOP
+            return Trend.UNKNOWN if has_unmeasured else Trend.FALL
         best = min(targets, key=self._rank)
         if best.pressure is Pressure.FULL or best.cost_s >= home.cost_s:
             return Trend.FALL
--- a/libs/locality/siskinsail_locality/_pressure.py
+++ b/libs/locality/siskinsail_locality/_pressure.py
@@ -21,6 +21,10 @@
     FULL       share is held           share falls
     OVERLOADED share may rise          stop at once
     ========== ======================= ========================
+
+    Reads leave by the objective of their class, and come by the strictest
+    objective of the service, so that whatever makes reads leave a database
+    makes it overloaded for all others.
     """
 
     ROOMY = 0
--- a/libs/locality/siskinsail_locality/_settings.py
+++ b/libs/locality/siskinsail_locality/_settings.py
@@ -45,7 +45,8 @@
         an effect on them before the next one.
     confirm_s : float
         Time for which figures must call for a rise before the first one, in
-        seconds.
+        seconds. It exceeds the age of the figures, so that a database whose
+        reads begin to leave is no target of others any more.
     hold_s : float
         Time for which a share is held without figures before it falls, in
         seconds.
@@ -77,7 +78,7 @@
     step: float = 0.05
     rise_interval_s: float = 2.0
     fall_interval_s: float = 4.0
-    confirm_s: float = 1.0
+    confirm_s: float = 2.0
     hold_s: float = 5.0
     max_share: float = 0.9
     measurement_share: float = 0.05
--- a/libs/locality/siskinsail_locality/_share.py
+++ b/libs/locality/siskinsail_locality/_share.py
@@ -7,7 +7,10 @@
 
 
 class Trend(Enum):
-    """Direction in which load figures move a share."""
+    """Direction in which load figures move a share.
+
+    ``STOP`` sets it to 0 at once; ``UNKNOWN`` stands for missing figures.
+    """
 
     RISE = 'rise'
     HOLD = 'hold'
@@ -72,10 +75,13 @@
     def update(self, trend: Trend, now_s: float) -> bool:
         """Apply a trend; return whether the share has changed."""
         before = self._steps
-        if trend is not Trend.RISE:
-            self._rising_since_s = None
-        if trend is not Trend.UNKNOWN:
+        if trend is Trend.UNKNOWN:
+            is_interrupted = not self.is_usable(now_s)
+        else:
+            is_interrupted = trend is not Trend.RISE
             self._known_s = now_s
+        if is_interrupted:
+            self._rising_since_s = None
         match trend:
             case Trend.STOP:
                 self._steps = 0
@@ -83,7 +89,7 @@
                 self._rise(now_s)
             case Trend.FALL:
                 self._fall(now_s)
-            case Trend.UNKNOWN if not self.is_usable(now_s):
+            case Trend.UNKNOWN if is_interrupted:
                 self._fall(now_s)
         if self._steps == before:
             return False
