--- a/libs/statements/tests/statement_group.py
+++ b/libs/statements/tests/statement_group.py
@@ -273,7 +273,7 @@
 class FakeGroup:
     """Databases d0 (primary), d1 and d2, and the service in front of them."""
 
-    def __init__(self, tasks, connections, **settings):
+    def __init__(self, tasks, connections, loads=None, **settings):
         self.tasks = tasks
         self.connections = connections
         self.databases = {
@@ -297,6 +297,7 @@
             self,
             CLOCK,
             CollectorRegistry(),
+            loads=loads,
         )
 
     # Implementation of the driver, the allowance and the evidence sink.
