--- a/libs/daemon/tests/test_settings.py
+++ b/libs/daemon/tests/test_settings.py
@@ -24,7 +24,9 @@
 
 def test_the_settings_page_matches_the_code():
     # Fails if a setting was added or changed and the page was not updated.
-    _, introduction, rows = PAGE.read_text().partition('| ')
+    # Sections about settings of other types follow the table.
+    page = PAGE.read_text().partition('\n## ')[0]
+    _, introduction, rows = page.partition('| ')
     assert (
         introduction + rows
         == settings_table(DaemonSettings).rstrip('\n') + '\n'
--- a/libs/locality/siskinsail_locality/_pressure.py
+++ b/libs/locality/siskinsail_locality/_pressure.py
@@ -47,7 +47,9 @@
         Latency objective of the statements, in seconds. Both the wait that
         is acceptable and the one that is not are shares of it.
     """
-    wait_share = load.wait_s / objective_s if objective_s > 0 else math.inf
+    wait_share = math.inf
+    if objective_s > 0:
+        wait_share = queueing_s(load, slots) / objective_s
     if (
         wait_share >= settings.leave_wait_share
         or load.refused_share >= settings.leave_refused_share
@@ -67,6 +69,18 @@
     return Pressure.ROOMY
 
 
+def queueing_s(load: DatabaseLoad, slots: int) -> float:
+    """Return the expected wait of a statement, in seconds.
+
+    Beside the wait for a connection, it is the part of the time at the
+    database in which the statements that exceed its slots wait for one.
+    """
+    excess = max(0, load.running - slots)
+    if not excess:
+        return load.wait_s
+    return load.wait_s + load.service_s * excess / load.running
+
+
 def plausible_load(
     source: LoadSource, database: DatabaseId
 ) -> DatabaseLoad | None:
--- a/libs/locality/tests/test_pressure.py
+++ b/libs/locality/tests/test_pressure.py
@@ -33,6 +33,10 @@
         (load(refused_share=0.003), 0.4, Pressure.BUSY),
         (load(refused_share=0.006), 0.4, Pressure.FULL),
         (load(refused_share=0.03), 0.4, Pressure.OVERLOADED),
+        # Of eight statements that take 0.2 s, half wait for a slot.
+        (load(running=2 * SLOTS, service_s=0.2), 0.4, Pressure.OVERLOADED),
+        (load(running=2 * SLOTS, service_s=0.2), 0.8, Pressure.FULL),
+        (load(running=SLOTS + 2, service_s=0.2), 0.4, Pressure.FULL),
         # An objective of 0 is missed by any wait.
         (load(), 0.0, Pressure.OVERLOADED),
     ],
@@ -74,7 +78,11 @@
 
 
 def two_data_centres():
-    """Return two decisions on the same figures, of which all reads leave."""
+    """Return two decisions on the same figures, with shares of 0 or 1.
+
+    A share does not fall by itself, so that only the load of its target can
+    stop the reads.
+    """
     clock = ManualClock()
     loads = FakeLoads()
     deciders = [
@@ -84,7 +92,7 @@
             clock,
             step=1.0,
             max_share=1.0,
-            fall_interval_s=1.0,
+            fall_interval_s=1000.0,
             region_price_s=0.0,
         )
         for home in ('east-1', 'west-1')
