Add siskinsail explain

For a route, client account, kind of statement and data centre it tells where a statement would run now: the databases in their order, what keeps others out, the load figures with their age, and what would refuse the statement.

--- a/libs/cli/siskinsail_cli/_main.py
+++ b/libs/cli/siskinsail_cli/_main.py
@@ -20,6 +20,7 @@
 from . import _read_commands as reads
 from ._client import ClientSettings
 from ._client import OperatorClient
+from ._explain_command import explain
 from ._invocation import change_command
 from ._invocation import Context
 from ._invocation import Invocation
@@ -56,6 +57,7 @@
     'primaries': read_command(reads.primaries),
     'limits': read_command(reads.limits),
     'timeline': read_command(reads.timeline),
+    'explain': read_command(explain),
 }
 
 
--- a/libs/cli/tests/test_cli.py
+++ b/libs/cli/tests/test_cli.py
@@ -71,6 +71,17 @@
                 'groups': [{'group': 'g', 'primary': 'db1', 'term': 2}],
                 'accounts': [{'name': 'a', 'rate': 5.0, 'level': 2.5}],
             },
+            '/explain': {
+                'vm': 'e1',
+                'data_centre': 'accra-tema',
+                'lease': 'held',
+                'obstacles': ['no_valid_key'],
+                'candidates': [
+                    {'order': 1, 'database': 'db1', 'wait_s': 0.125},
+                    {'database': 'db2', 'obstacles': ['out_of_service']},
+                ],
+                'asked': request.query,
+            },
             '/v1/timeline': {
                 'events': [
                     {'wall_s': 2.0, 'vm': 'e1', 'event': 'b', 'request': 'r'},
@@ -175,6 +186,16 @@
         (['data-centre', 'out', 'x', '--wait-s=soon'], 2, '--wait-s'),
         (['data-centre', 'out', 'x', '--unknown=1'], 2, 'unknown'),
         (['timeline', '--since=noon'], 2, '--since'),
+        (['explain', 'orders', '--account=a'], 0, 'e1 in accra-tema'),
+        (['explain', 'orders', '--account=a'], 0, 'no_valid_key'),
+        (['explain', 'orders', '--account=a'], 0, '0.125'),
+        (['explain', 'orders', '--account=a'], 0, 'out_of_service'),
+        (['explain', 'o/1&x', '--output=json'], 0, '"o/1&x"'),
+        (['explain', 'orders', '--kind=write', '--output=json'], 0, '"write"'),
+        (['explain', 'orders', '--data-centre=accra-tema'], 0, 'db1'),
+        (['explain', 'orders', '--data-centre=tamale'], 3, 'tamale'),
+        (['explain', 'orders', '--kind=other'], 2, '--kind'),
+        (['explain'], 2, 'route'),
         (['status', '--addresses=127.0.0.1:1', '--timeout-s=0'], 3, ':1'),
     ],
 )
--- a/libs/locality/siskinsail_locality/_near_primary.py
+++ b/libs/locality/siskinsail_locality/_near_primary.py
@@ -62,6 +62,11 @@
         self._metrics = metrics
         self._shares: dict[tuple[ServiceId, Consistency], SteppedShare] = {}
 
+    def share(self, service: ServiceId, consistency: Consistency) -> float:
+        """Return the share of the reads of a class that run on the primary."""
+        share = self._shares.get((service, consistency))
+        return 0.0 if share is None else share.value
+
     def takes_read(
         self,
         read_class: ReadClass,
@@ -88,7 +93,7 @@
             distance is not Distance.OTHER_REGION for distance in distances[1:]
         ):
             return False
-        share = self._share(read_class)
+        share = self._share_of(read_class)
         trend, loads = self._trend(read_class, primary, replicas)
         now_s = self._clock.now_s()
         if share.update(trend, now_s):
@@ -100,7 +105,7 @@
             self._metrics.count_read(read_class, 'near_primary')
         return is_taken
 
-    def _share(self, read_class: ReadClass) -> SteppedShare:
+    def _share_of(self, read_class: ReadClass) -> SteppedShare:
         key = (read_class.service, read_class.consistency)
         share = self._shares.get(key)
         if share is None:
--- a/libs/locality/siskinsail_locality/_placement.py
+++ b/libs/locality/siskinsail_locality/_placement.py
@@ -172,18 +172,42 @@
         if not state.is_usable(now_s):
             return default
         first = self._first(state, assessment)
-        ordered = sorted(
-            candidates,
-            key=lambda one: (
-                one.database != first,
-                one.is_avoided,
-                self._distance(one),
-            ),
-        )
+        ordered = self._by_distance(candidates)
+        ordered.sort(key=lambda one: one.database != first)
         chosen = self._distance(ordered[0])
         self._metrics.count_read(read_class, _DESTINATIONS[chosen])
         return [candidate.database for candidate in ordered]
 
+    def preview(
+        self,
+        service: ServiceId,
+        consistency: Consistency,
+        candidates: Sequence[ReadCandidate],
+    ) -> list[DatabaseId]:
+        """Return the order for a read that does not leave.
+
+        Shares, and the reads that they select, do not change.
+        """
+        state = self._states.get((service, consistency))
+        is_near = any(
+            self._distance(one) is not Distance.OTHER_REGION
+            for one in candidates
+        )
+        if (
+            state is not None
+            and is_near
+            and state.is_usable(self._clock.now_s())
+        ):
+            candidates = self._by_distance(candidates)
+        return [candidate.database for candidate in candidates]
+
+    def _by_distance(
+        self, candidates: Sequence[ReadCandidate]
+    ) -> list[ReadCandidate]:
+        return sorted(
+            candidates, key=lambda one: (one.is_avoided, self._distance(one))
+        )
+
     def _distance(self, candidate: ReadCandidate) -> Distance:
         distance = self._distances.get(candidate.data_centre)
         if distance is None:
--- a/libs/statements/siskinsail_statements/__init__.py
+++ b/libs/statements/siskinsail_statements/__init__.py
@@ -5,6 +5,9 @@
 from ._connection import SharedConnection as SharedConnection
 from ._driver import DatabaseDriver as DatabaseDriver
 from ._driver import DatabaseSession as DatabaseSession
+from ._explanation import CandidateExplanation as CandidateExplanation
+from ._explanation import Explanation as Explanation
+from ._explanation import Obstacle as Obstacle
 from ._forwarder import Forwarder as Forwarder
 from ._forwarder import HolderClients as HolderClients
 from ._forwarding_messages import FORWARD_METHOD as FORWARD_METHOD
--- a/libs/statements/siskinsail_statements/_read_locality.py
+++ b/libs/statements/siskinsail_statements/_read_locality.py
@@ -99,6 +99,33 @@
             for database in self._placement.order(read_class, candidates)
         ]
 
+    def preview(
+        self,
+        service: ServiceId,
+        consistency: Consistency,
+        replicas: Sequence[RankedReplica],
+    ) -> list[RankedReplica]:
+        """Return the same replicas as for a read that does not leave."""
+        by_database = {one.server.database: one for one in replicas}
+        candidates = [
+            self._candidate(one.server, one.is_avoided) for one in replicas
+        ]
+        return [
+            by_database[database]
+            for database in self._placement.preview(
+                service, consistency, candidates
+            )
+        ]
+
+    def shares(
+        self, service: ServiceId, consistency: Consistency
+    ) -> tuple[float, float]:
+        """Return the shares of reads that leave and on a near primary."""
+        return (
+            self._placement.share(service, consistency),
+            self._near_primary.share(service, consistency),
+        )
+
     def prefers_primary(
         self,
         view: View,
--- a/libs/statements/siskinsail_statements/_replicas.py
+++ b/libs/statements/siskinsail_statements/_replicas.py
@@ -102,21 +102,50 @@
         out, since the primary has the position. Without a position all
         replicas are returned.
         """
-        ranked: list[RankedReplica] = []
-        for server, pool in serving_replicas(view, service, self._find_pool):
-            state = self._state_of(server.database)
-            if min_position is not None and self._is_known_to_lag(
-                state, min_position
-            ):
-                continue
-            ranked.append(
-                RankedReplica(*self._rank(server, pool, state), server, pool)
-            )
-        ranked.sort(key=lambda replica: (replica.is_avoided, replica.cost_s))
+        ranked = self._ranked(view, service, min_position)
         if self._locality is not None:
             ranked = self._locality.order(view, service, consistency, ranked)
         return [replica.pool for replica in ranked]
 
+    def preview(
+        self,
+        view: View,
+        service: ServiceId,
+        min_position: Position | None,
+        consistency: Consistency,
+    ) -> list[DatabaseId]:
+        """Return the replicas to try for a read that stays near, best first.
+
+        Unlike ``choose``, it is not part of the placement of any read.
+        """
+        ranked = self._ranked(view, service, min_position)
+        if self._locality is not None:
+            ranked = self._locality.preview(service, consistency, ranked)
+        return [replica.server.database for replica in ranked]
+
+    def shares(
+        self, service: ServiceId, consistency: Consistency
+    ) -> tuple[float | None, float | None]:
+        """Return the shares of reads that leave and on a near primary.
+
+        Both are None if the decision is off.
+        """
+        if self._locality is None:
+            return None, None
+        return self._locality.shares(service, consistency)
+
+    def estimate(
+        self, server: BackendServer, pool: StatementPool
+    ) -> tuple[bool, float]:
+        """Return whether a database is avoided, and its estimated time."""
+        return self._rank(server, pool, self._state_of(server.database))
+
+    def is_known_to_lag(
+        self, database: DatabaseId, min_position: Position
+    ) -> bool:
+        """Tell whether a replica recently lacked a position."""
+        return self._is_known_to_lag(self._state_of(database), min_position)
+
     def prefers_primary(
         self,
         view: View,
@@ -137,9 +166,8 @@
         server = view.databases.get(primary.database)
         if self._locality is None or server is None:
             return False
-        state = self._state_of(server.database)
         candidate = RankedReplica(
-            *self._rank(server, primary, state), server, primary
+            *self.estimate(server, primary), server, primary
         )
         servers = [view.databases[pool.database] for pool in replicas]
         return self._locality.prefers_primary(
@@ -171,6 +199,22 @@
         """Record that a replica was unreachable or did not answer."""
         self._avoid(database, _UNREACHABLE_AVOIDANCE_S)
 
+    def _ranked(
+        self, view: View, service: ServiceId, min_position: Position | None
+    ) -> list[RankedReplica]:
+        """Return the replicas by their estimated times, best first."""
+        ranked: list[RankedReplica] = []
+        for server, pool in serving_replicas(view, service, self._find_pool):
+            if min_position is not None and self.is_known_to_lag(
+                server.database, min_position
+            ):
+                continue
+            ranked.append(
+                RankedReplica(*self.estimate(server, pool), server, pool)
+            )
+        ranked.sort(key=lambda replica: (replica.is_avoided, replica.cost_s))
+        return ranked
+
     def _avoid(self, database: DatabaseId, duration_s: float) -> None:
         state = self._state_of(database)
         until_s = self._clock.now_s() + duration_s
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -30,6 +30,8 @@
 from ._connection import SharedConnection
 from ._context import SessionContext
 from ._driver import DatabaseDriver
+from ._explanation import Explanation
+from ._explanation import StatementExplainer
 from ._forwarder import Forwarder
 from ._holder_service import HolderService
 from ._metrics import StatementMetrics
@@ -141,6 +143,16 @@
         runner = StatementRunner(
             settings, views, primaries, replicas, evidence, clock, metrics
         )
+        self._explainer = StatementExplainer(
+            views,
+            self._pools.pool,
+            primaries,
+            replicas,
+            runner.sender.samples,
+            forwarder,
+            loads,
+            clock,
+        )
         self._sampler = PositionSampler(settings, runner, primaries, clock)
         self._holder = HolderService(
             views,
@@ -166,6 +178,12 @@
         """Runs the statements that other daemons forward."""
         return self._holder
 
+    def explain(
+        self, route: RouteId, account: AccountId, *, is_write: bool
+    ) -> Explanation:
+        """Explain where a statement would run now, without sending it."""
+        return self._explainer.explain(route, account, is_write=is_write)
+
     async def run(self) -> None:
         """Sample positions and roll back transactions until cancelled."""
         async with anyio.create_task_group() as tasks:
