--- a/libs/locality/siskinsail_locality/_near_primary.py
+++ b/libs/locality/siskinsail_locality/_near_primary.py
@@ -118,12 +118,12 @@
         primary: ReadCandidate,
         replicas: Sequence[ReadCandidate],
     ) -> tuple[Trend, KnownLoads]:
+        if primary.is_avoided:
+            return Trend.STOP, {}
         load = plausible_load(self._loads, primary.database)
         if load is None:
             return Trend.UNKNOWN, {}
         loads = {primary.database: load}
-        if primary.is_avoided:
-            return Trend.STOP, loads
         objective_s = (
             read_class.service_objective_s * self._settings.primary_wait_factor
         )
--- a/libs/locality/siskinsail_locality/_placement.py
+++ b/libs/locality/siskinsail_locality/_placement.py
@@ -1,8 +1,6 @@
 """Order of the replicas for a read, and the share of reads that leave."""
 
 from collections.abc import Sequence
-import math
-from typing import NamedTuple
 
 from siskinsail_load import DatabaseLoad
 from siskinsail_load import LoadSource
@@ -17,6 +15,9 @@
 from ._candidates import path_cost_s
 from ._candidates import ReadCandidate
 from ._candidates import ReadClass
+from ._class_state import Assessment
+from ._class_state import ClassState
+from ._class_state import Target
 from ._metrics import KnownLoads
 from ._metrics import LocalityMetrics
 from ._pressure import completion_s
@@ -24,91 +25,11 @@
 from ._pressure import Pressure
 from ._pressure import pressure_of
 from ._settings import LocalitySettings
-from ._share import Spread
-from ._share import SteppedShare
 from ._share import Trend
 
 _DESTINATIONS = {distance: distance.name.lower() for distance in Distance}
 
 
-class _Target(NamedTuple):
-    """A database outside, with what decides whether reads are sent there."""
-
-    candidate: ReadCandidate
-    pressure: Pressure
-    cost_s: float
-
-
-class _Assessment(NamedTuple):
-    """What the figures call for.
-
-    Parameters
-    ----------
-    home : _Target or None
-        The near database with most room, None without figures.
-    targets : tuple of DatabaseId
-        Databases that reads may be sent to, among which they are divided.
-    excluded : frozenset of DatabaseId
-        Databases that no read may be sent to.
-    unmeasured : tuple of DatabaseId
-        Databases that need a read to obtain their figures.
-    loads : dict
-        Figures that the assessment rests on.
-    """
-
-    trend: Trend
-    home: _Target | None
-    targets: tuple[DatabaseId, ...]
-    excluded: frozenset[DatabaseId]
-    unmeasured: tuple[DatabaseId, ...]
-    loads: KnownLoads
-
-
-class _ClassState:
-    """Share of the reads of one class, and the targets of these reads."""
-
-    def __init__(self, settings: LocalitySettings) -> None:
-        self.share = SteppedShare(settings, settings.max_share)
-        self._hold_s = settings.hold_s
-        self._measurements = Spread(settings.phase)
-        self._targets: tuple[DatabaseId, ...] = ()
-        self._turns = 0
-        self._home_known_s = -math.inf
-
-    def is_usable(self, now_s: float) -> bool:
-        """Tell whether near figures are known or were known recently."""
-        return now_s - self._home_known_s < self._hold_s
-
-    def update(self, assessment: _Assessment, now_s: float) -> bool:
-        """Apply an assessment; return whether the share has changed."""
-        if assessment.home is not None:
-            self._home_known_s = now_s
-        self._targets = assessment.targets or tuple(
-            database
-            for database in self._targets
-            if database not in assessment.excluded
-        )
-        return self.share.update(assessment.trend, now_s)
-
-    def next_target(self) -> DatabaseId | None:
-        """Return the target of the next read that leaves."""
-        return self._next_of(self._targets)
-
-    def next_measured(
-        self, unmeasured: tuple[DatabaseId, ...], share: float
-    ) -> DatabaseId | None:
-        """Return the database that the next read measures, if any."""
-        if unmeasured and self._measurements.selects_next(share):
-            return self._next_of(unmeasured)
-        return None
-
-    def _next_of(self, databases: tuple[DatabaseId, ...]) -> DatabaseId | None:
-        if not databases:
-            return None
-        self._turns += 1
-        return databases[self._turns % len(databases)]
-
-
 class ReadPlacement:
     """Orders the replicas of a service for a read, from load figures.
 
@@ -139,7 +60,7 @@
         self._loads = loads
         self._clock = clock
         self._metrics = metrics
-        self._states: dict[tuple[ServiceId, Consistency], _ClassState] = {}
+        self._states: dict[tuple[ServiceId, Consistency], ClassState] = {}
         self._distances: dict[DataCentreId, Distance] = {}
 
     def share(self, service: ServiceId, consistency: Consistency) -> float:
@@ -215,18 +136,18 @@
             self._distances[candidate.data_centre] = distance
         return distance
 
-    def _state(self, read_class: ReadClass) -> _ClassState:
+    def _state(self, read_class: ReadClass) -> ClassState:
         key = (read_class.service, read_class.consistency)
         state = self._states.get(key)
         if state is None:
-            state = self._states[key] = _ClassState(self._settings)
+            state = self._states[key] = ClassState(self._settings)
         return state
 
     def _update(
         self,
         read_class: ReadClass,
-        state: _ClassState,
-        assessment: _Assessment,
+        state: ClassState,
+        assessment: Assessment,
         now_s: float,
     ) -> None:
         if state.update(assessment, now_s):
@@ -239,7 +160,7 @@
             )
 
     def _first(
-        self, state: _ClassState, assessment: _Assessment
+        self, state: ClassState, assessment: Assessment
     ) -> DatabaseId | None:
         """Return the database that the next read leaves to, if it leaves."""
         if state.share.selects_next():
@@ -251,29 +172,28 @@
     def _assess(
         self,
         read_class: ReadClass,
-        state: _ClassState,
+        state: ClassState,
         candidates: Sequence[ReadCandidate],
         nearest: Distance,
-    ) -> _Assessment:
+    ) -> Assessment:
         """Return what the figures call for."""
         near = [one for one in candidates if self._distance(one) is nearest]
         loads = self._known_loads(near)
         home = self._best_near(read_class, near, loads)
-        if home is None or (
-            home.pressure <= Pressure.BUSY and not state.share.value
-        ):
+        is_calm = home is None or home.pressure <= Pressure.BUSY
+        if is_calm and not state.share.value:
             trend = Trend.UNKNOWN if home is None else Trend.FALL
-            return _Assessment(trend, home, (), frozenset(), (), loads)
+            return Assessment(trend, home, (), frozenset(), (), loads)
         remote = [one for one in candidates if one not in near]
         return self._assess_remote(read_class, home, remote, loads)
 
     def _assess_remote(
         self,
         read_class: ReadClass,
-        home: _Target,
+        home: Target | None,
         remote: Sequence[ReadCandidate],
         near_loads: KnownLoads,
-    ) -> _Assessment:
+    ) -> Assessment:
         """Return what the figures call for where reads may leave."""
         loads = near_loads | self._known_loads(remote)
         known = [
@@ -302,12 +222,15 @@
             if candidate.database not in loads
             and candidate.database not in excluded
         )
-        return _Assessment(
+        is_overloaded = (
+            home is not None and home.pressure is Pressure.OVERLOADED
+        )
+        return Assessment(
             self._trend(home, targets, bool(unmeasured)),
             home,
             self._preferred(targets),
             frozenset(excluded),
-            unmeasured if home.pressure is Pressure.OVERLOADED else (),
+            unmeasured if is_overloaded else (),
             loads,
         )
 
@@ -327,7 +250,7 @@
         read_class: ReadClass,
         near: Sequence[ReadCandidate],
         loads: KnownLoads,
-    ) -> _Target | None:
+    ) -> Target | None:
         """Return the near database with most room."""
         known = [
             self._target(
@@ -347,7 +270,7 @@
         candidate: ReadCandidate,
         load: DatabaseLoad,
         objective_s: float,
-    ) -> _Target:
+    ) -> Target:
         """Return the pressure and the cost of a database.
 
         Parameters
@@ -357,18 +280,18 @@
             strictest one of the service: the lowest wait at which any of
             their own reads leave.
         """
-        return _Target(
+        return Target(
             candidate,
             pressure_of(load, candidate.slots, objective_s, self._settings),
             completion_s(load, read_class.objective_s)
             + path_cost_s(candidate, self._settings),
         )
 
-    def _rank(self, target: _Target) -> tuple[Pressure, Distance, float]:
+    def _rank(self, target: Target) -> tuple[Pressure, Distance, float]:
         distance = self._distance(target.candidate)
         return target.pressure, distance, target.cost_s
 
-    def _preferred(self, targets: Sequence[_Target]) -> tuple[DatabaseId, ...]:
+    def _preferred(self, targets: Sequence[Target]) -> tuple[DatabaseId, ...]:
         """Return the targets with most room and, of these, the nearest.
 
         Reads are divided among equal ones regardless of their cost, since
@@ -384,8 +307,8 @@
 
     def _trend(
         self,
-        home: _Target | None,
-        targets: Sequence[_Target],
+        home: Target | None,
+        targets: Sequence[Target],
         has_unmeasured: bool,
     ) -> Trend:
         """Return where the figures move the share."""
--- a/libs/locality/tests/test_near_primary.py
+++ b/libs/locality/tests/test_near_primary.py
@@ -98,8 +98,10 @@
     ) == pytest.approx(wanted)
 
 
-def test_an_avoided_primary_takes_no_reads():
+@pytest.mark.parametrize('figure', [ROOMY_PRIMARY, None])
+def test_an_avoided_primary_takes_no_reads(figure):
     """Guards against reads on a primary that has just refused or failed."""
     one = decider(east_db=ROOMY_PRIMARY)
     run(one, 60)
+    one.loads.figures['east-db'] = figure
     assert run(one, 5, is_avoided=True) == 0
--- a/libs/locality/tests/test_placement.py
+++ b/libs/locality/tests/test_placement.py
@@ -208,6 +208,23 @@
     assert set(one.run(0.75)) == {'east-db'}
 
 
+@pytest.mark.parametrize('home', [None, OVERLOADED, HELD, ROOMY])
+@pytest.mark.parametrize('reason', ['overloaded', 'avoided'])
+def test_held_shares_stop_at_a_target_without_room(home, reason):
+    # Also while the figures of the near database are missing.
+    one = decider(east_db=OVERLOADED, west_db=ROOMY, north_db=ROOMY)
+    one.run(30)
+    one.loads.figures['east-db'] = home
+    avoided = ()
+    if reason == 'overloaded':
+        one.loads.figures['west-db'] = OVERLOADED
+        one.loads.figures['north-db'] = OVERLOADED
+    else:
+        avoided = ('west-db', 'north-db')
+    assert set(one.run(3, avoided=avoided)) == {'east-db'}
+    assert one.share() > 0
+
+
 @pytest.mark.parametrize('avoided', [('west-db',), ('west-db', 'north-db')])
 def test_avoided_databases_are_no_targets(avoided):
     # The figures may be false: the own attempts have failed.
