Accept load sources that have a length in explanations

A table of figures without entries is false as a condition, so that its figures of this daemon were left out.

--- a/libs/statements/siskinsail_statements/_explanation.py
+++ b/libs/statements/siskinsail_statements/_explanation.py
@@ -299,7 +299,9 @@
         else:
             is_avoided, estimate_s = self._replicas.estimate(server, pool)
         holder = self._first_holder(server, account)
-        load = self._loads.database_load(database) if self._loads else None
+        load = None
+        if self._loads is not None:
+            load = self._loads.database_load(database)
         return CandidateExplanation(
             database=database,
             data_centre=server.data_centre,
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -138,7 +138,7 @@
                 settings.locality, loads, settings.latency_s, clock, registry
             )
         replicas = ReplicaSelector(
-            self._pools.pool, settings.latency_s, clock, locality
+            self._pools.pool, settings.latency_s, clock, locality=locality
         )
         runner = StatementRunner(
             settings, views, primaries, replicas, evidence, clock, metrics
--- a/libs/statements/tests/test_explanation.py
+++ b/libs/statements/tests/test_explanation.py
@@ -23,6 +23,10 @@
 class AgedLoads(FakeLoads):
     """Load figures whose age is known."""
 
+    def __len__(self):
+        # A source that has received no figures from others yet is empty.
+        return 0
+
     def age_s(self, holder, database):
         return 0.25
 
--- a/libs/statements/tests/test_read_locality.py
+++ b/libs/statements/tests/test_read_locality.py
@@ -82,7 +82,7 @@
                 CollectorRegistry(),
             )
         self.selector = ReplicaSelector(
-            self.pools.get, self.latency_s, self.clock, decision
+            self.pools.get, self.latency_s, self.clock, locality=decision
         )
 
     def latency_s(self, data_centre):
