--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -19,6 +19,7 @@
 from siskinsail_catalogue import ViewSource
 from siskinsail_holders import AccountDemand
 from siskinsail_limits import RateLimiter
+from siskinsail_load import LoadSource
 from siskinsail_types import AccountId
 from siskinsail_types import Clock
 from siskinsail_types import ConnectionAllowance
@@ -30,12 +31,15 @@
 from ._connection import SharedConnection
 from ._context import SessionContext
 from ._driver import DatabaseDriver
+from ._explanation import Explanation
+from ._explanation import StatementExplainer
 from ._forwarder import Forwarder
 from ._holder_loads import HolderLoads
 from ._holder_service import HolderService
 from ._metrics import StatementMetrics
 from ._outcome import StatementError
 from ._primaries import PrimaryFinder
+from ._read_locality import ReadLocality
 from ._replicas import LocalPool
 from ._replicas import LocalPools
 from ._replicas import ReplicaSelector
@@ -103,6 +107,9 @@
     forwarder : Forwarder or None
         Calls the daemons that hold connections; None if this daemon runs all
         statements itself.
+    loads : LoadSource or None
+        Recent load of the databases; without it, ``settings.locality`` has
+        no effect.
 
     Examples
     --------
@@ -121,24 +128,41 @@
         clock: Clock,
         registry: CollectorRegistry,
         forwarder: Forwarder | None = None,
+        loads: LoadSource | None = None,
     ) -> None:
         metrics = StatementMetrics(registry)
         self._metrics = metrics
         self._pools = RoutedPools(pools, forwarder)
         primaries = PrimaryFinder(views, self._pools.pool, clock)
-        loads = None if forwarder is None else forwarder.loads
+        table = None if forwarder is None else forwarder.loads
         holder_loads: HolderLoads | None = None
-        if forwarder is not None and loads is not None:
+        if forwarder is not None and table is not None:
             demand = AccountDemand(forwarder.settings, clock)
             holder_loads = HolderLoads(self._pools, demand, clock)
-            loads.set_local(holder_loads.load)
+            table.set_local(holder_loads.load)
             forwarder.register_metrics(registry, demand)
+        loads = table if loads is None else loads
+        locality = None
+        if settings.locality is not None and loads is not None:
+            locality = ReadLocality(
+                settings.locality, loads, settings.latency_s, clock, registry
+            )
         replicas = ReplicaSelector(
-            self._pools.pool, settings.latency_s, clock, loads
+            self._pools.pool, settings.latency_s, clock, loads, locality
         )
         runner = StatementRunner(
             settings, views, primaries, replicas, evidence, clock, metrics
         )
+        self._explainer = StatementExplainer(
+            views,
+            self._pools.pool,
+            primaries,
+            replicas,
+            runner.sender.samples,
+            forwarder,
+            loads,
+            clock,
+        )
         self._sampler = PositionSampler(settings, runner, primaries, clock)
         self._holder = HolderService(
             views,
@@ -165,6 +189,12 @@
         """Runs the statements that other daemons forward."""
         return self._holder
 
+    def explain(
+        self, route: RouteId, account: AccountId, *, is_write: bool
+    ) -> Explanation:
+        """Explain where a statement would run now, without sending it."""
+        return self._explainer.explain(route, account, is_write=is_write)
+
     async def run(self) -> None:
         """Sample positions and roll back transactions until cancelled."""
         async with anyio.create_task_group() as tasks:
