--- a/libs/net/siskinsail_net/__init__.py
+++ b/libs/net/siskinsail_net/__init__.py
@@ -1,6 +1,7 @@
 """Network interface, fault injection, HTTP/1.1 and RPCs between daemons."""
 
 from ._accept import ConnectionCount as ConnectionCount
+from ._arrived import receive_arrived as receive_arrived
 from ._faults import FaultNetwork as FaultNetwork
 from ._faults import FaultRule as FaultRule
 from ._faults import FaultStream as FaultStream
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -16,6 +16,7 @@
 from siskinsail_types import Address
 
 from ._accept import ConnectionCount
+from ._arrived import receive_arrived
 from ._http_message import HttpConnection
 from ._http_message import HttpRequest
 from ._http_message import HttpResponse
@@ -29,8 +30,6 @@
 BadRequestHandler = Callable[[int, str], HttpResponse]
 
 _READ_BYTES = 65536
-# Time in which a request is read that arrived as its connection was closed.
-_ARRIVED_S = 0.01
 
 
 class _WatchedStream:
@@ -220,9 +219,11 @@
     ) -> None:
         parser = _RequestParser(connection)
         watched = _WatchedStream(stream, connection)
+        is_first = True
         while True:
             try:
-                received = await self._receive(watched)
+                received = await self._receive(watched, is_first=is_first)
+                is_first = False
                 if received is None:
                     return
                 parser.feed(received)
@@ -244,7 +245,9 @@
             if not await self._answer_parsed_requests(stream, watched, parser):
                 return
 
-    async def _receive(self, watched: _WatchedStream) -> bytes | None:
+    async def _receive(
+        self, watched: _WatchedStream, *, is_first: bool
+    ) -> bytes | None:
         """Return the next bytes, None if the stop closes the connection.
 
         What has arrived when the stop closes idle connections is answered.
@@ -252,9 +255,7 @@
         if self._waits.phase < StopPhase.CLOSING:
             with self._waits.until(StopPhase.CLOSING):
                 return await watched.receive()
-        with anyio.move_on_after(_ARRIVED_S):
-            return await watched.receive()
-        return None
+        return await receive_arrived(watched.receive, is_first=is_first)
 
     async def _answer_parsed_requests(
         self,
