Send a daemon only what differs from its view after a change of leader

A new leader knew no earlier view version and sent each daemon the whole view. In a fleet of 139 agents with 6 members, delays of 12 ms and links of 5 Mbit/s at the members, the answers filled the link of the new leader: 83 agents gave up on it after 0.75 s, its heartbeats queued behind the views, it lost its leadership, and agents were without a lease for up to 2.8 s. With links without a rate, no agent lost its lease.

With ControlSettings.view_digests a registration carries 256 bytes of digests of 32 buckets of the view, and the answer replaces the buckets that differ. The setting is off by default; leaders without it send whole views.

--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -54,6 +54,7 @@
 from ._view_log import apply_delta
 from ._view_log import decode_delta
 from ._view_log import EMPTY_VIEW
+from ._view_parts import view_digests
 
 URGENT_REPORT_INTERVAL_S = 0.05
 # Without a lease, allowances are reduced after much longer times.
@@ -316,6 +317,12 @@
         )
         self._is_last_call_answered = False
         version = 0 if self._needs_full_view else self._view.version
+        sends_digests = (
+            self._settings.view_digests
+            and self._leader_term == 0
+            and not leaving
+            and version > 0
+        )
         return SyncRequest(
             incarnation=self._identity.incarnation,
             data_centre=self._identity.data_centre,
@@ -338,6 +345,7 @@
             peer_address=(
                 '' if self._leader_term else self._identity.peer_address
             ),
+            view_digests=view_digests(self._view) if sends_digests else b'',
         )
 
     def _primaries(self) -> frozenset[DatabaseId]:
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -379,7 +379,7 @@
         )
         self._token_lender.record_answer(borrower_name(record.key), daemons)
         view = self._context.view_log.encoded_delta(
-            ViewVersion(request.view_version)
+            ViewVersion(request.view_version), request.view_digests
         )
         return SyncAnswer(
             Status.OK,
--- a/libs/control/siskinsail_control/_messages.py
+++ b/libs/control/siskinsail_control/_messages.py
@@ -182,6 +182,7 @@
     answered_sequence: int = 0
     used_share_s: float = 0.0
     peer_address: str = ''
+    view_digests: bytes = b''
 
     @property
     def is_idle(self) -> bool:
--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -69,6 +69,9 @@
         a call, which is not needed where daemons forward statements
     equal_connection_shares : bool
         divide connections equally, regardless of demand (baseline)
+    view_digests : bool
+        let a daemon send digests of its view when it registers, so that a
+        new leader sends only what differs
     tick_s : float
         interval between two checks of the leader
     """
@@ -105,6 +108,7 @@
     connection_reserve: Share = 0.0
     connections_by_demand: bool = False
     equal_connection_shares: bool = False
+    view_digests: bool = False
     tick_s: Seconds = 0.05
 
     @property
--- a/libs/control/siskinsail_control/_view_log.py
+++ b/libs/control/siskinsail_control/_view_log.py
@@ -1,5 +1,6 @@
 """Versions of the view and the deltas between them."""
 
+from collections.abc import Container
 from typing import Any
 
 import msgspec
@@ -19,6 +20,12 @@
 from siskinsail_types import ViewVersion
 from siskinsail_types import VmId
 
+from ._view_parts import bucket
+from ._view_parts import differing_buckets
+from ._view_parts import PartKey
+from ._view_parts import view_digests
+from ._view_parts import view_parts
+
 # A view version is a log index shifted left by this number of bits, plus the
 # number of changes since that entry which are not in the log (backend servers
 # that are added or removed). A leader starts from the index of its own first
@@ -32,8 +39,6 @@
 
 EMPTY_VIEW = View(ViewVersion(0), CatalogueVersion(0))
 
-_PartKey = tuple[str, Any]
-
 
 class ViewDelta(msgspec.Struct, frozen=True):
     """Difference between two versions of the view.
@@ -42,6 +47,9 @@
     ----------
     base : ViewVersion
         Version that the delta applies to; 0 if the delta is a full view.
+    replaced : tuple of int
+        Buckets whose parts in the base are all replaced by those of the
+        delta.
     """
 
     base: ViewVersion
@@ -56,6 +64,7 @@
     removed_backends: tuple[DatabaseId, ...] = ()
     daemons: tuple[ServingDaemon, ...] = ()
     removed_daemons: tuple[VmId, ...] = ()
+    replaced: tuple[int, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -90,6 +99,8 @@
     if delta.base not in (0, view.version):
         return None
     base_view = view if delta.base else EMPTY_VIEW
+    if delta.replaced:
+        base_view = _without_buckets(base_view, frozenset(delta.replaced))
     entries = {entry_key(entry): entry for entry in base_view.entries}
     groups = {group.group: group for group in base_view.groups}
     backends = {server.database: server for server in base_view.backends}
@@ -117,6 +128,37 @@
     )
 
 
+def _without_buckets(view: View, buckets: Container[int]) -> View:
+    """Return a view without the parts in some buckets."""
+    return _select_parts(
+        view,
+        {key for key in view_parts(view) if bucket(key) not in buckets},
+    )
+
+
+def _select_parts(view: View, keys: Container[PartKey]) -> View:
+    """Return a view with only some of its parts."""
+    return msgspec.structs.replace(
+        view,
+        entries=tuple(
+            entry
+            for entry in view.entries
+            if ('entry', entry_key(entry)) in keys
+        ),
+        groups=tuple(
+            group for group in view.groups if ('group', group.group) in keys
+        ),
+        backends=tuple(
+            server
+            for server in view.backends
+            if ('db', server.database) in keys
+        ),
+        daemons=tuple(
+            daemon for daemon in view.daemons if ('daemon', daemon.vm) in keys
+        ),
+    )
+
+
 def make_view(
     version: ViewVersion,
     catalogue_version: CatalogueVersion,
@@ -157,9 +199,10 @@
         self._view = View(version, CatalogueVersion(0))
         self._oldest_base = version
         self._range_start = version
-        self._changed: dict[_PartKey, ViewVersion] = {}
-        self._removed: dict[_PartKey, ViewVersion] = {}
-        self._encoded: dict[ViewVersion, bytes] = {}
+        self._changed: dict[PartKey, ViewVersion] = {}
+        self._removed: dict[PartKey, ViewVersion] = {}
+        self._encoded: dict[tuple[ViewVersion, bytes], bytes] = {}
+        self._digests = b''
 
     @property
     def view(self) -> View:
@@ -206,39 +249,54 @@
         self._record_changes(view)
         self._view = view
         self._encoded.clear()
+        self._digests = b''
         return True
 
-    def encoded_delta(self, base: ViewVersion) -> bytes:
+    def encoded_delta(self, base: ViewVersion, digests: bytes = b'') -> bytes:
         """Return the encoded delta from ``base``, empty if nothing changed.
 
-        The result is the full view if the changes since ``base`` are unknown.
+        If the changes since ``base`` are unknown, the result is what differs
+        by the digests, or the full view without them.
+
+        Parameters
+        ----------
+        digests : bytes
+            ``view_digests`` of the view of version ``base``, empty if the
+            daemon did not send them.
         """
         if base == self.version:
             return b''
-        if not self._oldest_base <= base < self.version:
-            base = ViewVersion(0)
-        data = self._encoded.get(base)
+        if self._oldest_base <= base < self.version:
+            digests = b''
+        elif not digests or not 0 < base < self.version:
+            base, digests = ViewVersion(0), b''
+        data = self._encoded.get((base, digests))
         if data is None:
-            data = _encoder.encode(self._build_delta(base))
-            self._encoded[base] = data
+            delta = (
+                self._build_difference(base, digests)
+                if digests
+                else self._build_delta(base)
+            )
+            data = _encoder.encode(delta)
+            self._encoded[base, digests] = data
         return data
 
+    def _build_difference(
+        self, base: ViewVersion, digests: bytes
+    ) -> ViewDelta:
+        """Return the delta that replaces all buckets that differ."""
+        if not self._digests:
+            self._digests = view_digests(self._view)
+        buckets = differing_buckets(self._digests, digests)
+        keys = {
+            key for key in view_parts(self._view) if bucket(key) in buckets
+        }
+        delta = _whole_delta(base, _select_parts(self._view, keys))
+        return msgspec.structs.replace(delta, replaced=tuple(sorted(buckets)))
+
     def _build_delta(self, base: ViewVersion) -> ViewDelta:
-        view = self._view
         if base == 0:
-            return ViewDelta(
-                base,
-                view.version,
-                view.catalogue_version,
-                view.token_secrets,
-                view.entries,
-                (),
-                view.groups,
-                (),
-                view.backends,
-                (),
-                view.daemons,
-            )
+            return _whole_delta(base, self._view)
         removed: dict[str, list[Any]] = {
             'entry': [],
             'group': [],
@@ -251,39 +309,17 @@
         changed = {
             key for key, version in self._changed.items() if version > base
         }
-        return ViewDelta(
-            base,
-            view.version,
-            view.catalogue_version,
-            view.token_secrets,
-            tuple(
-                entry
-                for entry in view.entries
-                if ('entry', entry_key(entry)) in changed
-            ),
-            tuple(removed['entry']),
-            tuple(
-                group
-                for group in view.groups
-                if ('group', group.group) in changed
-            ),
-            tuple(removed['group']),
-            tuple(
-                server
-                for server in view.backends
-                if ('db', server.database) in changed
-            ),
-            tuple(removed['db']),
-            tuple(
-                daemon
-                for daemon in view.daemons
-                if ('daemon', daemon.vm) in changed
-            ),
-            tuple(removed['daemon']),
+        delta = _whole_delta(base, _select_parts(self._view, changed))
+        return msgspec.structs.replace(
+            delta,
+            removed_entries=tuple(removed['entry']),
+            removed_groups=tuple(removed['group']),
+            removed_backends=tuple(removed['db']),
+            removed_daemons=tuple(removed['daemon']),
         )
 
     def _record_changes(self, view: View) -> None:
-        old_parts, new_parts = _parts(self._view), _parts(view)
+        old_parts, new_parts = view_parts(self._view), view_parts(view)
         for key, value in new_parts.items():
             if old_parts.get(key) != value:
                 self._changed[key] = view.version
@@ -298,11 +334,15 @@
             self._oldest_base = max(self._oldest_base, self._removed.pop(key))
 
 
-def _parts(view: View) -> dict[_PartKey, Any]:
-    parts: dict[_PartKey, Any] = {
-        ('entry', entry_key(entry)): entry for entry in view.entries
-    }
-    parts.update((('group', group.group), group) for group in view.groups)
-    parts.update((('db', server.database), server) for server in view.backends)
-    parts.update((('daemon', daemon.vm), daemon) for daemon in view.daemons)
-    return parts
+def _whole_delta(base: ViewVersion, view: View) -> ViewDelta:
+    """Return a delta that adds all parts of a view to a base."""
+    return ViewDelta(
+        base,
+        view.version,
+        view.catalogue_version,
+        view.token_secrets,
+        entries=view.entries,
+        groups=view.groups,
+        backends=view.backends,
+        daemons=view.daemons,
+    )
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -99,6 +99,9 @@
   # In a registration: host:port at which other daemons call this one; empty
   # if it runs no statements for them.
   peerAddress @15 :Text;
+  # In a registration: digests of the view, empty if the leader must send the
+  # whole view unless it knows the version.
+  viewDigests @16 :Data;
 }
 
 struct SyncAnswer {
--- a/libs/control/tests/test_view_log.py
+++ b/libs/control/tests/test_view_log.py
@@ -17,6 +17,7 @@
 from siskinsail_control import apply_delta
 from siskinsail_control import ViewDelta
 from siskinsail_control import ViewLog
+from siskinsail_control._view_parts import view_digests
 from siskinsail_types import DatabaseRole
 from siskinsail_types import GroupPhase
 
@@ -87,6 +88,52 @@
     assert len({view.version for view in views}) == len(views)
 
 
+@pytest.mark.parametrize('seed', range(20))
+def test_a_difference_by_digests_gives_the_full_view(seed):
+    # Fails if a daemon keeps a part that the new leader no longer has.
+    generator = random.Random(seed)
+    for number in range(20):
+        earlier, later = ViewLog(7), ViewLog(8)
+        contents = _random_contents(generator)
+        earlier.publish(1, *contents)
+        if number % 2:
+            contents = _random_contents(generator)
+        later.publish(1, *contents)
+        view = earlier.view
+        data = later.encoded_delta(view.version, view_digests(view))
+        assert apply_delta(view, _decode(data)) == later.view
+
+
+def test_a_new_leader_sends_only_what_differs():
+    # Fails if the leader sends the whole view to each daemon that registers
+    # with it, which fills its link: 84 KB for each of 139 daemons.
+    entries = tuple(
+        AccountEntry(owner='o', name=f'account-{number}', rate=1.0, burst=1.0)
+        for number in range(200)
+    )
+    earlier, later = ViewLog(7), ViewLog(8)
+    earlier.publish(1, entries, (), (), (b's',))
+    later.publish(1, entries, (), (), (b's',))
+    digests = view_digests(earlier.view)
+    assert len(later.encoded_delta(earlier.version, digests)) < 400
+    changed = AccountEntry(owner='o', name='account-0', rate=2.0, burst=1.0)
+    later.publish(2, (changed, *entries[1:]), (), (), (b's',))
+    data = later.encoded_delta(earlier.version, digests)
+    whole = later.encoded_delta(0)
+    assert len(data) < len(whole) / 4
+    assert apply_delta(earlier.view, _decode(data)) == later.view
+
+
+@pytest.mark.parametrize('digests', [b'', b'another version'])
+def test_unknown_digests_give_a_view_that_can_be_applied(digests):
+    # Fails if daemons of two versions cannot run side by side.
+    log, later = ViewLog(7), ViewLog(8)
+    for one in (log, later):
+        one.publish(1, *_random_contents(random.Random(1)))
+    data = later.encoded_delta(log.version, digests)
+    assert apply_delta(log.view, _decode(data)) == later.view
+
+
 def test_a_later_leader_starts_above_every_version_of_an_earlier_one():
     first, second = ViewLog(7), ViewLog(8)
     for number in range(1000):
