Give calls on a connection the time that their answers may take

A daemon that no member answered logged control_member_silent after 0.8 s for each member, and after 0.3 s in the second round: the first call after an unanswered one on the same connection had 0.25 s until the read timeout closed the connection, while the leader may hold a sync call for 0.4 s. It has 0.5 s now.

A call that waited for a connection was not woken when the handshake of one attempt failed and the next succeeded, since the event that it waited for had been replaced. The event is replaced only after a connection that was established.

--- a/libs/net/siskinsail_net/_peer_client.py
+++ b/libs/net/siskinsail_net/_peer_client.py
@@ -36,8 +36,8 @@
 # retransmission, which may come seconds to minutes after the partition heals.
 READ_TIMEOUT_S = 2.0
 # The first call after one that timed out has at least this time for its
-# answer.
-MIN_READ_TIMEOUT_CHECK_S = 0.25
+# answer: the longest hold of a sync call and two round trips between regions.
+MIN_READ_TIMEOUT_CHECK_S = 0.5
 
 
 class PeerCallError(SiskinsailError):
@@ -243,7 +243,9 @@
             await self._receive(frames)
         finally:
             self._frames = None
-            self._connected = anyio.Event()
+            # Calls wait for the event until the first handshake succeeds.
+            if self._connected.is_set():
+                self._connected = anyio.Event()
             self._fail_pending()
             await frames.aclose()
 
--- a/libs/net/tests/test_peer.py
+++ b/libs/net/tests/test_peer.py
@@ -20,6 +20,7 @@
 from siskinsail_net import PeerServer
 from siskinsail_net import PROTOCOL_VERSION
 from siskinsail_net import TcpNetwork
+from siskinsail_net._peer_client import READ_TIMEOUT_S
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
 from siskinsail_types import ProtocolError
@@ -159,6 +160,59 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_a_call_after_an_unanswered_one_may_take_a_long_poll():
+    # Fails if a daemon that was cut off closes its connection to the leader,
+    # which may hold a sync call for 0.4 s, before the answer can arrive.
+    server, _ = _make_server_and_client_factory('s', 's')
+    network = _LossyNetwork()
+    async with anyio.create_task_group() as tasks:
+        server_address = await tasks.start(server.serve, LOCAL)
+        client = PeerClient(
+            network, server_address, Secret('s'), VmId('client')
+        )
+        tasks.start_soon(client.run)
+        await client.call('echo', b'0', 5)
+        network.drops_received = True
+        with pytest.raises(CallTimeoutError):
+            await client.call('echo', b'0', 0.1)
+        await anyio.sleep(READ_TIMEOUT_S)
+        network.drops_received = False
+        assert await client.call('echo', b'0.4', 5) == b'client:0.4'
+        assert network.connection_count == 1
+        tasks.cancel_scope.cancel()
+
+
+class _EndedStream(_LossyStream):
+    """Stream whose remote side has closed it."""
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        raise anyio.EndOfStream
+
+
+class _NetworkWithLostHandshakes(_LossyNetwork):
+    async def connect(self, remote, timeout_s):
+        stream = await super().connect(remote, timeout_s)
+        if self.connection_count == 1:
+            return _EndedStream(stream, self)
+        return stream
+
+
+async def test_a_call_waits_for_a_connection_after_a_lost_handshake():
+    # Fails if a call that waits for the connection is not woken by the next
+    # one and times out, so that the daemon leaves a member that is connected.
+    server, _ = _make_server_and_client_factory('s', 's')
+    network = _NetworkWithLostHandshakes()
+    async with anyio.create_task_group() as tasks:
+        server_address = await tasks.start(server.serve, LOCAL)
+        client = PeerClient(
+            network, server_address, Secret('s'), VmId('client')
+        )
+        tasks.start_soon(client.run)
+        assert await client.call('echo', b'0', 5) == b'client:0'
+        assert network.connection_count == 2
+        tasks.cancel_scope.cancel()
+
+
 async def test_idle_and_responding_connections_are_kept():
     server, _ = _make_server_and_client_factory('s', 's')
     network = _LossyNetwork()
