--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -56,6 +56,7 @@
         # The last member that did not answer. Other members may name it as
         # leader until they have elected another one.
         self._unresponsive_member: VmId | None = None
+        self._unresponsive_generation = 0
         self._calls_avoiding_unresponsive = 0
         self._calls_to_hinted = 0
 
@@ -115,6 +116,7 @@
         if self.client is not client:
             return
         unresponsive_member = self._unresponsive_member = self._current
+        self._unresponsive_generation = client.connection_generation
         self._calls_avoiding_unresponsive = MAX_CALLS_AVOIDING_UNRESPONSIVE
         self._clear_unresponsive_if_disconnected()
         self._choose_next()
@@ -164,12 +166,15 @@
     def _clear_unresponsive_if_disconnected(self) -> None:
         """Stop avoiding an unresponsive member once its connection has ended.
 
-        When it is connected again, its process has restarted. After a restart
-        of the whole fleet it may be the leader.
+        When it is connected again, its process has restarted, or this daemon
+        was cut off from it. It may be the leader.
         """
+        if self._unresponsive_member is None:
+            return
+        client = self._clients[self._unresponsive_member]
         if (
-            self._unresponsive_member
-            and not self._clients[self._unresponsive_member].is_connected
+            not client.is_connected
+            or client.connection_generation != self._unresponsive_generation
         ):
             self._unresponsive_member = None
             self._calls_avoiding_unresponsive = 0
--- a/libs/control/tests/test_leader_finder.py
+++ b/libs/control/tests/test_leader_finder.py
@@ -87,6 +87,23 @@
     assert _current_member(finder) == 0
 
 
+def test_a_member_that_was_reconnected_between_two_calls_is_called(
+    finder, monkeypatch
+):
+    # Fails if a daemon that was cut off doesn't call the leader that the other
+    # members name, because it had not answered on an earlier connection.
+    generations = {20_000: 1}
+    monkeypatch.setattr(
+        PeerClient,
+        'connection_generation',
+        property(lambda client: generations.get(client.remote.port, 1)),
+    )
+    finder.record_failure(finder.client)
+    generations[20_000] = 2
+    assert finder.record_refusal(finder.client, 'm0')
+    assert _current_member(finder) == 0
+
+
 def test_the_only_other_member_is_called_while_one_is_unresponsive(
     finder, monkeypatch
 ):
