--- a/libs/control/siskinsail_control/_daemon_table.py
+++ b/libs/control/siskinsail_control/_daemon_table.py
@@ -125,6 +125,11 @@
             or self._clock.now_s() >= self._earlier_lease_end_s
         )
 
+    @property
+    def awaited_count(self) -> int:
+        """Number of registered daemons that have not called."""
+        return len(self._awaited)
+
     def find(self, key: DaemonKey) -> DaemonRecord | None:
         """Return the record of a daemon, or None if it has not called."""
         return self._records.get(key)
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -40,6 +40,7 @@
 from ._messages import SyncAnswer
 from ._messages import SyncRequest
 from ._state import DaemonKey
+from ._takeover import Takeover
 
 # Each change of the view makes every daemon call, so that the daemons that
 # start together are published together.
@@ -98,6 +99,7 @@
         self._deregistered: set[DaemonKey] = set()
         self._registering: set[DaemonKey] = set()
         self._next_serving_update_s = 0.0
+        self._takeover = Takeover(context)
 
     @property
     def context(self) -> LeaderContext:
@@ -174,7 +176,9 @@
         grants = self._token_lender.process_reports(
             borrower_name(key), list(request.reports)
         )
-        if request.leader_term != 0:
+        # A daemon whose last call was not answered may be about to lose its
+        # lease.
+        if request.leader_term != 0 and request.changes_only:
             await self._long_poll(record, request)
         return self._build_answer(record, request, grants)
 
@@ -378,9 +382,7 @@
             request.sequence, daemons, self._clock.now_s()
         )
         self._token_lender.record_answer(borrower_name(record.key), daemons)
-        view = self._context.view_log.encoded_delta(
-            ViewVersion(request.view_version), request.view_digests
-        )
+        view = self._encode_view(request)
         return SyncAnswer(
             Status.OK,
             self._context.vm,
@@ -393,6 +395,14 @@
             self._members,
         )
 
+    def _encode_view(self, request: SyncRequest) -> bytes:
+        base = ViewVersion(request.view_version)
+        view_log = self._context.view_log
+        view = view_log.encoded_delta(base, request.view_digests)
+        kind = view_log.delta_kind(base, request.view_digests)
+        self._context.metrics.view_bytes.labels(kind.value).inc(len(view))
+        return view
+
     def _confirm_last_answer(
         self, record: DaemonRecord, request: SyncRequest
     ) -> None:
@@ -455,6 +465,7 @@
         )
         if self._context.membership.expire():
             self._on_membership_change()
+        self._takeover.check()
         self._update_serving_daemons()
         self._update_connection_lending()
         self._context.metrics.leases.set(len(self._daemon_table.leased))
--- a/libs/control/siskinsail_control/_metrics.py
+++ b/libs/control/siskinsail_control/_metrics.py
@@ -3,6 +3,8 @@
 import prometheus_client
 
 _CHANGE_BUCKETS_S = (0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 5.0, 10.0)
+# The last bounds are the longest hold of a call, and the call timeout.
+_CALL_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.4, 0.5, 0.75, 1.5)
 
 
 class ControlMetrics:
@@ -44,3 +46,26 @@
             ['method'],
             registry=registry,
         )
+        self.calls_in_progress = prometheus_client.Gauge(
+            'siskinsail_control_calls_in_progress',
+            'Sync calls that the leader has not answered yet.',
+            registry=registry,
+        )
+        self.call_seconds = prometheus_client.Histogram(
+            'siskinsail_control_call_seconds',
+            'Time from a sync call to its answer at the leader, by kind.',
+            ['kind'],
+            buckets=_CALL_BUCKETS_S,
+            registry=registry,
+        )
+        self.abandoned_calls = prometheus_client.Counter(
+            'siskinsail_control_abandoned_calls',
+            'Sync calls that a later call of the same daemon replaced.',
+            registry=registry,
+        )
+        self.view_bytes = prometheus_client.Counter(
+            'siskinsail_control_view_bytes',
+            'Bytes of view deltas sent before compression, by kind.',
+            ['kind'],
+            registry=registry,
+        )
--- a/libs/control/siskinsail_control/_service.py
+++ b/libs/control/siskinsail_control/_service.py
@@ -161,9 +161,22 @@
         if leadership is None:
             answer = SyncAnswer(Status.NOT_LEADER, self._leader_name)
         else:
-            answer = await leadership.sync(caller, request)
+            answer = await self._measure_sync(leadership, caller, request)
         return self._count_call(SYNC_METHOD, encode_message(answer))
 
+    async def _measure_sync(
+        self, leadership: Leadership, caller: VmId, request: SyncRequest
+    ) -> SyncAnswer:
+        kind = 'registration' if request.leader_term == 0 else 'renewal'
+        with (
+            self._metrics.calls_in_progress.track_inprogress(),
+            self._metrics.call_seconds.labels(kind).time(),
+        ):
+            answer = await leadership.sync(caller, request)
+        if answer.status is Status.SUPERSEDED:
+            self._metrics.abandoned_calls.inc()
+        return answer
+
     async def _borrow(self, caller: VmId, payload: bytes) -> bytes:
         request = decode_message(BorrowRequest, payload)
         leadership = self.leadership
--- a/libs/control/siskinsail_control/_view_log.py
+++ b/libs/control/siskinsail_control/_view_log.py
@@ -1,6 +1,8 @@
 """Versions of the view and the deltas between them."""
 
 from collections.abc import Container
+from enum import Enum
+from enum import unique
 from typing import Any
 
 import msgspec
@@ -40,6 +42,20 @@
 EMPTY_VIEW = View(ViewVersion(0), CatalogueVersion(0))
 
 
+@unique
+class DeltaKind(Enum):
+    """What a delta is built from.
+
+    ``CHANGES`` since a version of this leader; ``DIFFERENCE`` from a view of
+    an earlier leader, by its digests; ``WHOLE`` view.
+    """
+
+    NOTHING = 'nothing'
+    CHANGES = 'changes'
+    DIFFERENCE = 'difference'
+    WHOLE = 'whole'
+
+
 class ViewDelta(msgspec.Struct, frozen=True):
     """Difference between two versions of the view.
 
@@ -264,12 +280,13 @@
             ``view_digests`` of the view of version ``base``, empty if the
             daemon did not send them.
         """
-        if base == self.version:
+        kind = self.delta_kind(base, digests)
+        if kind is DeltaKind.NOTHING:
             return b''
-        if self._oldest_base <= base < self.version:
+        if kind is DeltaKind.WHOLE:
+            base = ViewVersion(0)
+        if kind is not DeltaKind.DIFFERENCE:
             digests = b''
-        elif not digests or not 0 < base < self.version:
-            base, digests = ViewVersion(0), b''
         data = self._encoded.get((base, digests))
         if data is None:
             delta = (
@@ -281,6 +298,16 @@
             self._encoded[base, digests] = data
         return data
 
+    def delta_kind(self, base: ViewVersion, digests: bytes = b'') -> DeltaKind:
+        """Return the kind of the delta that ``encoded_delta`` returns."""
+        if base == self.version:
+            return DeltaKind.NOTHING
+        if self._oldest_base <= base < self.version:
+            return DeltaKind.CHANGES
+        if digests and 0 < base < self.version:
+            return DeltaKind.DIFFERENCE
+        return DeltaKind.WHOLE
+
     def _build_difference(
         self, base: ViewVersion, digests: bytes
     ) -> ViewDelta:
--- a/libs/control/tests/test_fleet.py
+++ b/libs/control/tests/test_fleet.py
@@ -502,6 +502,58 @@
     assert following[Status.NOT_REGISTERED, 'm1'][0] is Status.OK, events
 
 
+@pytest.mark.parametrize('changes_only', [False, True])
+async def test_a_call_after_an_unanswered_one_is_not_held(
+    fleet, monkeypatch, changes_only
+):
+    # Fails if a daemon that was cut off waits for a long poll before its lease
+    # is renewed. It says that its last call was answered by ``changes_only``.
+    await wait_until(lambda: fleet.leadership is not None)
+    leadership = fleet.leadership
+    held = []
+
+    async def record_hold(record, request) -> None:
+        held.append(request.sequence)
+
+    monkeypatch.setattr(leadership, '_long_poll', record_hold)
+    first = SyncRequest(incarnation='1', data_centre='a', sequence=1)
+    answer = await leadership.sync(VmId('vm'), first)
+    second = msgspec.structs.replace(
+        first,
+        sequence=2,
+        leader_term=answer.leader_term,
+        changes_only=changes_only,
+    )
+    answer = await leadership.sync(VmId('vm'), second)
+    assert answer.status is Status.OK
+    assert held == ([2] if changes_only else [])
+
+
+async def test_the_leader_measures_its_calls(fleet):
+    # Fails if operators cannot tell what a leader sends after a takeover, or
+    # that daemons leave it before it answers.
+    await wait_until(lambda: fleet.leadership is not None)
+    leadership, service = fleet.leadership, fleet.services['m0']
+    first = SyncRequest(incarnation='1', data_centre='a', sequence=1)
+    answer = await leadership.sync(VmId('vm'), first)
+    renewal = msgspec.structs.replace(
+        first,
+        sequence=2,
+        leader_term=answer.leader_term,
+        view_version=leadership.context.view_log.version,
+        changes_only=True,
+    )
+    metrics = service._metrics
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(service._sync, VmId('vm'), encode_message(renewal))
+        await wait_until(lambda: metrics.calls_in_progress._value.get() == 1)
+        later = msgspec.structs.replace(renewal, sequence=3)
+        await leadership.sync(VmId('vm'), later)
+    assert metrics.abandoned_calls._value.get() == 1
+    assert metrics.calls_in_progress._value.get() == 0
+    assert metrics.view_bytes.labels('whole')._value.get() > 0
+
+
 async def test_a_new_leader_restores_the_stored_databases(fleet):
     # Fails if a new leader starts without databases, so that daemons wait
     # until the databases announce themselves again.
