Call the first member that is reached after a loss of all connections

A daemon that had lost its connections to all members waited up to the call timeout for one of them, then for the next, and logged control_member_silent for each, as if it were the members that did not answer. It logs control_unreachable once and calls the first member that it reaches.

The new test failed before.

--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -249,6 +249,10 @@
     async def _sync(self) -> bool:
         """Make a sync call; return whether to call again without a pause."""
         self._log_lease_change()
+        if not await self._finder.wait_any_connected(
+            self._settings.call_timeout_s
+        ):
+            return False
         self._finder.prefer_connected()
         client = self._finder.client
         request = self._build_request()
--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -59,6 +59,7 @@
         self._unresponsive_generation = 0
         self._calls_avoiding_unresponsive = 0
         self._calls_to_hinted = 0
+        self._is_loss_logged = False
 
     @property
     def members(self) -> tuple[VmId, ...]:
@@ -93,6 +94,20 @@
         """Keep connections to the members open until cancelled."""
         await self._clients.run()
 
+    async def wait_any_connected(self, timeout_s: float) -> bool:
+        """Wait for a connection to any member; return whether there is one.
+
+        A daemon that was cut off from all members calls the first one that it
+        reaches again, whichever it called last.
+        """
+        if any(self._clients[name].is_connected for name in self._clients):
+            self._is_loss_logged = False
+            return True
+        if not self._is_loss_logged:
+            self._is_loss_logged = True
+            log_event('control_unreachable', members=len(self.members))
+        return await self._clients.wait_any_connected(timeout_s)
+
     def prefer_connected(self) -> None:
         """Change to a connected member if the current one is not connected."""
         if not self.client.is_connected:
--- a/libs/control/tests/test_fleet.py
+++ b/libs/control/tests/test_fleet.py
@@ -28,6 +28,7 @@
 from siskinsail_net import HttpClientConnection
 from siskinsail_net import PeerServer
 from siskinsail_net import TcpNetwork
+from siskinsail_types import Address
 from siskinsail_types import DatabaseRole
 from siskinsail_types import LeaseState
 from siskinsail_types import Placement
@@ -36,6 +37,7 @@
 
 from .conftest import account
 from .conftest import apply
+from .conftest import Fleet
 from .conftest import LOCAL
 from .conftest import OPERATOR_KEY
 from .conftest import SECRET
@@ -529,6 +531,26 @@
     assert held == ([2] if changes_only else [])
 
 
+async def test_the_first_member_that_is_reached_is_called():
+    # Fails if a daemon that is cut off from all members waits for the one that
+    # it called last, though it reaches another one again.
+    settings = ControlSettings(call_timeout_s=60.0)
+    async with anyio.create_task_group() as tasks:
+        fleet = Fleet(tasks, settings)
+        await fleet.start_member('m0')
+        fleet.log.elect('m0')
+        address = fleet.members.pop(VmId('m0'))
+        # Nothing listens on the other ports.
+        for name, port in (('m1', 1), ('m2', 2)):
+            fleet.members[VmId(name)] = Address('127.0.0.1', port)
+        fleet.members[VmId('m0')] = address
+        agent = fleet.start_agent('vm')
+        with anyio.fail_after(10):
+            while agent.lease_state is not LeaseState.HELD:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+
 async def test_the_leader_measures_its_calls(fleet):
     # Fails if operators cannot tell what a leader sends after a takeover, or
     # that daemons leave it before it answers.
--- a/libs/net/siskinsail_net/_peer_clients.py
+++ b/libs/net/siskinsail_net/_peer_clients.py
@@ -78,6 +78,18 @@
             self.add(daemon, address)
         return True
 
+    async def wait_any_connected(self, timeout_s: float) -> bool:
+        """Wait for a connection to any daemon; return whether there is one."""
+        async with anyio.create_task_group() as tasks:
+
+            async def wait_for(client: PeerClient) -> None:
+                if await client.wait_connected(timeout_s):
+                    tasks.cancel_scope.cancel()
+
+            for client in self._clients.values():
+                tasks.start_soon(wait_for, client)
+        return any(client.is_connected for client in self._clients.values())
+
     async def run(self) -> None:
         """Maintain all connections until cancelled."""
         async with anyio.create_task_group() as tasks:
