Send whole views to daemons that divide views into other buckets

A daemon of a later version with more buckets would have kept parts of its view in buckets that the leader does not know. Digests carry a format number now, and a view whose digests cannot be compared is sent whole. An agent computes its digests once for a view, and not for each attempt to register while there is no leader.

--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -126,6 +126,8 @@
             members, network, secret, identity.vm, resolve
         )
         self._view = EMPTY_VIEW
+        # Empty until they are needed.
+        self._view_digests = b''
         self._view_changed = anyio.Event()
         self._lease_end_s = -math.inf
         self._was_lease_held = False
@@ -302,7 +304,8 @@
         balances: dict[AccountId, LoanBalance] = {}
         view_backends: tuple[BackendServer, ...] = ()
         used_share_s = 0.0
-        if self._leader_term == 0 and not leaving:
+        is_registration = self._leader_term == 0 and not leaving
+        if is_registration:
             # Borrow calls of an earlier registration have no effect any more.
             self._registration_sequence = self._sequence
             self._observations.mark_undelivered()
@@ -321,12 +324,6 @@
         )
         self._is_last_call_answered = False
         version = 0 if self._needs_full_view else self._view.version
-        sends_digests = (
-            self._settings.view_digests
-            and self._leader_term == 0
-            and not leaving
-            and version > 0
-        )
         return SyncRequest(
             incarnation=self._identity.incarnation,
             data_centre=self._identity.data_centre,
@@ -349,9 +346,19 @@
             peer_address=(
                 '' if self._leader_term else self._identity.peer_address
             ),
-            view_digests=view_digests(self._view) if sends_digests else b'',
+            view_digests=(
+                self._registration_digests() if is_registration else b''
+            ),
         )
 
+    def _registration_digests(self) -> bytes:
+        """Return the digests of the view to send with a registration."""
+        if not self._settings.view_digests or self._needs_full_view:
+            return b''
+        if not self._view_digests and self._view.version > 0:
+            self._view_digests = view_digests(self._view)
+        return self._view_digests
+
     def _primaries(self) -> frozenset[DatabaseId]:
         return frozenset(
             group.primary
@@ -377,6 +384,7 @@
         if view.catalogue_version != self._view.catalogue_version:
             self._borrower.set_limits(view.accounts)
         self._view = view
+        self._view_digests = b''
         self._metrics.view_version.set(view.version)
         self._view_changed.set()
         self._view_changed = anyio.Event()
--- a/libs/control/siskinsail_control/_view_log.py
+++ b/libs/control/siskinsail_control/_view_log.py
@@ -24,6 +24,7 @@
 
 from ._view_parts import bucket
 from ._view_parts import differing_buckets
+from ._view_parts import is_comparable
 from ._view_parts import PartKey
 from ._view_parts import view_digests
 from ._view_parts import view_parts
@@ -304,7 +305,7 @@
             return DeltaKind.NOTHING
         if self._oldest_base <= base < self.version:
             return DeltaKind.CHANGES
-        if digests and 0 < base < self.version:
+        if is_comparable(digests) and 0 < base < self.version:
             return DeltaKind.DIFFERENCE
         return DeltaKind.WHOLE
 
--- a/libs/control/siskinsail_control/_view_parts.py
+++ b/libs/control/siskinsail_control/_view_parts.py
@@ -20,6 +20,8 @@
 """Kind and name of a part of a view."""
 
 DIGEST_BYTES = 8
+# Must change with the buckets or with the encoding of the digests.
+_FORMAT = b'\x01'
 # Each kind has buckets of its own. The list of serving daemons is empty in the
 # first view of a leader and would otherwise make all buckets differ.
 _FIRST_BUCKETS = {'entry': 0, 'group': 16, 'db': 20, 'daemon': 28}
@@ -52,26 +54,23 @@
 
 
 def view_digests(view: View) -> bytes:
-    """Return the digests of all buckets of a view, in order."""
+    """Return the format and the digests of all buckets of a view."""
     hashes = [
         hashlib.blake2b(digest_size=DIGEST_BYTES) for _ in range(BUCKETS)
     ]
     for key, part in view_parts(view).items():
         hashes[bucket(key)].update(_encoder.encode(part))
-    return b''.join(one.digest() for one in hashes)
+    return _FORMAT + b''.join(one.digest() for one in hashes)
+
+
+def is_comparable(digests: bytes) -> bool:
+    """Return whether a program with the same buckets made the digests."""
+    size = len(_FORMAT) + BUCKETS * DIGEST_BYTES
+    return digests.startswith(_FORMAT) and len(digests) == size
 
 
 def differing_buckets(left: bytes, right: bytes) -> frozenset[int]:
-    """Return the buckets in which two views differ.
-
-    Parameters
-    ----------
-    left, right : bytes
-        Results of ``view_digests``. A program of another version may use
-        another number of buckets; all of them differ then.
-    """
-    if len(left) != len(right):
-        return frozenset(range(BUCKETS))
+    """Return the buckets in which two views differ by their digests."""
     return frozenset(
         number
         for number in range(BUCKETS)
@@ -80,4 +79,5 @@
 
 
 def _digest(digests: bytes, number: int) -> bytes:
-    return digests[number * DIGEST_BYTES : (number + 1) * DIGEST_BYTES]
+    start = len(_FORMAT) + number * DIGEST_BYTES
+    return digests[start : start + DIGEST_BYTES]
--- a/libs/control/tests/test_view_log.py
+++ b/libs/control/tests/test_view_log.py
@@ -17,6 +17,7 @@
 from siskinsail_control import apply_delta
 from siskinsail_control import ViewDelta
 from siskinsail_control import ViewLog
+from siskinsail_control._view_log import DeltaKind
 from siskinsail_control._view_parts import view_digests
 from siskinsail_types import DatabaseRole
 from siskinsail_types import GroupPhase
@@ -124,12 +125,21 @@
     assert apply_delta(earlier.view, _decode(data)) == later.view
 
 
-@pytest.mark.parametrize('digests', [b'', b'another version'])
-def test_unknown_digests_give_a_view_that_can_be_applied(digests):
-    # Fails if daemons of two versions cannot run side by side.
+@pytest.mark.parametrize(
+    'digests',
+    [
+        pytest.param(b'', id='none'),
+        pytest.param(b'\x01' * 16, id='fewer buckets'),
+        pytest.param(b'\x02' * 257, id='another format'),
+    ],
+)
+def test_digests_that_cannot_be_compared_give_the_whole_view(digests):
+    # Fails if a daemon of another version keeps what the leader doesn't have,
+    # since it divides the view into other buckets.
     log, later = ViewLog(7), ViewLog(8)
-    for one in (log, later):
-        one.publish(1, *_random_contents(random.Random(1)))
+    log.publish(1, *_random_contents(random.Random(1)))
+    later.publish(1, *_random_contents(random.Random(2)))
+    assert later.delta_kind(log.version, digests) is DeltaKind.WHOLE
     data = later.encoded_delta(log.version, digests)
     assert apply_delta(log.view, _decode(data)) == later.view
 
