--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -5,6 +5,7 @@
 
 import anyio
 from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
 from siskinsail_catalogue import ViewSource
@@ -12,6 +13,7 @@
 from siskinsail_types import Clock
 from siskinsail_types import Consistency
 from siskinsail_types import LeaseState
+from siskinsail_types import RequestError
 from siskinsail_types import VmId
 
 from ._connection import ExchangeResult
@@ -35,6 +37,8 @@
 from ._held_transactions import end_transaction
 from ._held_transactions import HeldTransaction
 from ._held_transactions import HeldTransactions
+from ._holder_loads import HolderLoads
+from ._load_figures import with_load
 from ._metrics import StatementMetrics
 from ._operation import DatabaseTarget
 from ._operation import OpenTransaction
@@ -86,6 +90,8 @@
         Source of time.
     metrics : StatementMetrics
         Counts forwarded statements.
+    loads : HolderLoads or None
+        Figures that the answers carry; None for answers without figures.
     """
 
     def __init__(
@@ -97,6 +103,7 @@
         sampler: PositionSampler,
         clock: Clock,
         metrics: StatementMetrics,
+        loads: HolderLoads | None = None,
     ) -> None:
         self._views = views
         self._pools = pools
@@ -105,6 +112,7 @@
         self._sampler = sampler
         self._clock = clock
         self._metrics = metrics
+        self._loads = loads
         self._transactions = HeldTransactions(clock)
         self._running = 0
         self._phase = StopPhase.SERVING
@@ -155,8 +163,10 @@
             If the payload is not a call.
         """
         call = decode_call(payload)
+        received_s = self._clock.now_s()
         if self._phase >= StopPhase.DRAINING and not call.transaction:
-            return encode_answer(not_run(NotRunReason.DRAINING, 'draining'))
+            answer = not_run(NotRunReason.DRAINING, 'draining')
+            return self._encode(call, answer, received_s)
         self._running += 1
         try:
             answer = await self._actions[call.action](caller, call)
@@ -165,8 +175,41 @@
         self._metrics.forwarded.labels(
             call.action.value, answer.outcome.value
         ).inc()
+        return self._encode(call, answer, received_s)
+
+    def _encode(
+        self, call: ForwardedCall, answer: ForwardedAnswer, received_s: float
+    ) -> bytes:
+        """Encode an answer with the load of its database."""
+        if self._loads is None:
+            return encode_answer(answer)
+        self._loads.record_answer(call.database, answer)
+        load = self._loads.load(call.database)
+        if load is not None:
+            spent_s = self._clock.now_s() - received_s
+            holders = self._loads.account_holders(call)
+            answer = with_load(answer, load, spent_s, holders)
         return encode_answer(answer)
 
+    def _record_wait(
+        self,
+        call: ForwardedCall,
+        operation: Operation,
+        attempt: Result[Reply, AttemptError],
+    ) -> None:
+        """Record the wait for a connection.
+
+        A refusal counts like an answer at the objective, also if it was made
+        at once.
+        """
+        if self._loads is None:
+            return
+        is_refused = isinstance(attempt, Failure) and isinstance(
+            attempt.failure(), RequestError
+        )
+        refused_s = call.objective_s if is_refused else 0.0
+        self._loads.record_wait(call, max(operation.waited_s, refused_s))
+
     async def _run_single(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
@@ -179,6 +222,7 @@
         attempt = await self._sender.send_to(
             operation, target, send, operation.deadline_s
         )
+        self._record_wait(call, operation, attempt)
         if isinstance(attempt, Success):
             return answered(attempt.unwrap())
         return self._failed(operation, target, attempt.failure())
@@ -196,6 +240,7 @@
         attempt = await self._sender.send_to(
             operation, target, send, operation.deadline_s, kept
         )
+        self._record_wait(call, operation, attempt)
         if not isinstance(attempt, Success):
             return self._failed(operation, target, attempt.failure())
         held = HeldTransaction(
@@ -341,6 +386,7 @@
         self, call: ForwardedCall, variables: SessionVariables
     ) -> Operation:
         now_s = self._clock.now_s()
+        self._pools.record_served(call.database, call.account)
         session_position = call.session_position
         consistency = Consistency.LATEST
         if not call.needs_primary:
