--- a/libs/holders/siskinsail_holders/_completion.py
+++ b/libs/holders/siskinsail_holders/_completion.py
@@ -1,7 +1,9 @@
 """Expected completion of a statement at a holder."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+from siskinsail_catalogue import ServingDaemon
 from siskinsail_load import LoadTable
 from siskinsail_types import DatabaseId
 from siskinsail_types import VmId
@@ -60,6 +62,22 @@
     )
 
 
+def completions_at(
+    loads: LoadTable, database: DatabaseId, holders: Sequence[ServingDaemon]
+) -> list[Completion | None]:
+    """Return the expected completion at each of several holders.
+
+    The time at the database is that of the first one where a holder knows
+    none.
+    """
+    first = loads.holder_load(holders[0].vm, database)
+    service_s = 0.0 if first is None else first.service_s
+    return [
+        completion_at(loads, daemon.vm, database, service_s)
+        for daemon in holders
+    ]
+
+
 def margin_s(
     settings: HolderSettings, first: Completion, other: Completion
 ) -> float:
--- a/libs/holders/tests/balance_side.py
+++ b/libs/holders/tests/balance_side.py
@@ -43,7 +43,7 @@
     @property
     def moved_share(self):
         """The share of the statements that leaves the first holder."""
-        return self.balance._moves[DATABASE, 'h0'].share.value
+        return self.balance._moves._moves[DATABASE, 'h0'].share.value
 
     def shares(self, accounts=100, holders=HOLDERS):
         """Return the part of the statements of each holder."""
