--- a/libs/statements/siskinsail_statements/_replicas.py
+++ b/libs/statements/siskinsail_statements/_replicas.py
@@ -1,6 +1,7 @@
 """Selection of the replicas that a read is sent to."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 import math
 
@@ -11,6 +12,7 @@
 from siskinsail_catalogue import View
 from siskinsail_load import LoadSource
 from siskinsail_types import Clock
+from siskinsail_types import Consistency
 from siskinsail_types import DatabaseId
 from siskinsail_types import DataCentreId
 from siskinsail_types import Position
@@ -18,6 +20,8 @@
 
 from ._connection import SharedConnection
 from ._ports import StatementPool
+from ._read_locality import RankedReplica
+from ._read_locality import ReadLocality
 
 # Time for which a replica is skipped after it lacked a position, and tried
 # after the others after it was overloaded.
@@ -70,6 +74,9 @@
         Source of time.
     loads : LoadSource or None
         Recent load of the databases; None if it is not considered.
+    locality : ReadLocality or None
+        Decides which reads leave the data centre; None for the order of the
+        estimated times alone.
     """
 
     def __init__(
@@ -78,15 +85,21 @@
         latency_s: Callable[[DataCentreId], float],
         clock: Clock,
         loads: LoadSource | None = None,
+        locality: ReadLocality | None = None,
     ) -> None:
         self._find_pool = find_pool
         self._latency_s = latency_s
         self._clock = clock
         self._loads = loads
+        self._locality = locality
         self._states: dict[DatabaseId, _ReplicaState] = {}
 
     def choose(
-        self, view: View, service: ServiceId, min_position: Position | None
+        self,
+        view: View,
+        service: ServiceId,
+        min_position: Position | None,
+        consistency: Consistency = Consistency.BOUNDED,
     ) -> list[StatementPool]:
         """Return the replicas to try, best first.
 
@@ -94,16 +107,77 @@
         out, since the primary has the position. Without a position all
         replicas are returned.
         """
-        ranked: list[tuple[tuple[bool, float], StatementPool]] = []
-        for server, pool in serving_replicas(view, service, self._find_pool):
-            state = self._state_of(server.database)
-            if min_position is not None and self._is_known_to_lag(
-                state, min_position
-            ):
-                continue
-            ranked.append((self._rank(server, pool, state), pool))
-        ranked.sort(key=lambda entry: entry[0])
-        return [pool for _, pool in ranked]
+        ranked = self._ranked(view, service, min_position)
+        if self._locality is not None:
+            ranked = self._locality.order(view, service, consistency, ranked)
+        return [replica.pool for replica in ranked]
+
+    def preview(
+        self,
+        view: View,
+        service: ServiceId,
+        min_position: Position | None,
+        consistency: Consistency,
+    ) -> list[DatabaseId]:
+        """Return the replicas to try for a read that stays near, best first.
+
+        Unlike ``choose``, it is not part of the placement of any read.
+        """
+        ranked = self._ranked(view, service, min_position)
+        if self._locality is not None:
+            ranked = self._locality.preview(service, consistency, ranked)
+        return [replica.server.database for replica in ranked]
+
+    def shares(
+        self, service: ServiceId, consistency: Consistency
+    ) -> tuple[float | None, float | None]:
+        """Return the shares of reads that leave and on a near primary.
+
+        Both are None if the decision is off.
+        """
+        if self._locality is None:
+            return None, None
+        return self._locality.shares(service, consistency)
+
+    def estimate(
+        self, server: BackendServer, pool: StatementPool
+    ) -> tuple[bool, float]:
+        """Return whether a database is avoided, and its estimated time."""
+        return self._rank(server, pool, self._state_of(server.database))
+
+    def is_known_to_lag(
+        self, database: DatabaseId, min_position: Position
+    ) -> bool:
+        """Tell whether a replica recently lacked a position."""
+        return self._is_known_to_lag(self._state_of(database), min_position)
+
+    def prefers_primary(
+        self,
+        view: View,
+        service: ServiceId,
+        consistency: Consistency,
+        primary: StatementPool,
+        replicas: Sequence[StatementPool],
+    ) -> bool:
+        """Tell whether a read runs on the primary before the replicas.
+
+        Parameters
+        ----------
+        primary : StatementPool
+            The primary, found under a lease.
+        replicas : sequence of StatementPool
+            The replicas that may serve the read.
+        """
+        server = view.databases.get(primary.database)
+        if self._locality is None or server is None:
+            return False
+        candidate = RankedReplica(
+            *self.estimate(server, primary), server, primary
+        )
+        servers = [view.databases[pool.database] for pool in replicas]
+        return self._locality.prefers_primary(
+            view, service, consistency, candidate, servers
+        )
 
     def record_answer(
         self, database: DatabaseId, position: Position | None, spent_s: float
@@ -130,6 +204,22 @@
         """Record that a replica was unreachable or did not answer."""
         self._avoid(database, _UNREACHABLE_AVOIDANCE_S)
 
+    def _ranked(
+        self, view: View, service: ServiceId, min_position: Position | None
+    ) -> list[RankedReplica]:
+        """Return the replicas by their estimated times, best first."""
+        ranked: list[RankedReplica] = []
+        for server, pool in serving_replicas(view, service, self._find_pool):
+            if min_position is not None and self.is_known_to_lag(
+                server.database, min_position
+            ):
+                continue
+            ranked.append(
+                RankedReplica(*self.estimate(server, pool), server, pool)
+            )
+        ranked.sort(key=lambda replica: (replica.is_avoided, replica.cost_s))
+        return ranked
+
     def _avoid(self, database: DatabaseId, duration_s: float) -> None:
         state = self._state_of(database)
         until_s = self._clock.now_s() + duration_s
