Report the usage of client accounts to the platform

The platform asks for the number of requests of each client account that began to run at databases in each window. Daemons count where they send statements to databases and add changed counts to their sync calls. The leader decides the counts of a window in the replicated log, and then reports them with its term as the fencing token. Nothing changes where the settings file does not ask for usage reports.

--- a/libs/control/siskinsail_control/__init__.py
+++ b/libs/control/siskinsail_control/__init__.py
@@ -8,6 +8,7 @@
 from ._commands import AddTokenSecret as AddTokenSecret
 from ._commands import ApplyCatalogue as ApplyCatalogue
 from ._commands import Command as Command
+from ._commands import DecideUsage as DecideUsage
 from ._commands import decode_command as decode_command
 from ._commands import DeregisterDaemon as DeregisterDaemon
 from ._commands import encode_command as encode_command
@@ -40,6 +41,8 @@
 from ._service import ControlService as ControlService
 from ._settings import ControlSettings as ControlSettings
 from ._state import ControlState as ControlState
+from ._usage_reporting import UsageApi as UsageApi
+from ._usage_reporting import UsageDuty as UsageDuty
 from ._view_log import apply_delta as apply_delta
 from ._view_log import ViewDelta as ViewDelta
 from ._view_log import ViewLog as ViewLog
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -29,6 +29,9 @@
 from siskinsail_types import SiskinsailError
 from siskinsail_types import ViewVersion
 from siskinsail_types import VmId
+from siskinsail_usage import UsageCounter
+from siskinsail_usage import UsageReport
+from siskinsail_usage import WindowId
 
 from ._allowances import Allowances
 from ._leader_client import forward_request
@@ -48,6 +51,7 @@
 from ._messages import SYNC_METHOD
 from ._messages import SyncAnswer
 from ._messages import SyncRequest
+from ._messages import UsageEntry
 from ._metrics import ControlMetrics
 from ._observations import DatabaseObservations
 from ._settings import ControlSettings
@@ -102,6 +106,8 @@
         Metrics of the view version and of the bytes sent.
     resolve : callable
         Returns the peer address of a member that is not in ``members``.
+    usage : UsageCounter or None
+        Counts to report, None if the platform does not ask for them.
     """
 
     def __init__(
@@ -115,12 +121,14 @@
         borrower: TokenBorrower,
         metrics: ControlMetrics,
         resolve: AddressResolver = resolve_no_address,
+        usage: UsageCounter | None = None,
     ) -> None:
         self._settings = settings
         self._identity = identity
         self._clock = clock
         self._borrower = borrower
         self._metrics = metrics
+        self._usage = usage
         self._finder = LeaderFinder(
             members, network, secret, identity.vm, resolve
         )
@@ -316,6 +324,7 @@
         )
         self._is_last_call_answered = False
         version = 0 if self._needs_full_view else self._view.version
+        usage = self._take_usage_report()
         return SyncRequest(
             incarnation=self._identity.incarnation,
             data_centre=self._identity.data_centre,
@@ -338,8 +347,17 @@
             peer_address=(
                 '' if self._leader_term else self._identity.peer_address
             ),
+            wall_s=usage.wall_s,
+            usage_window=usage.open_window,
+            usage=tuple(UsageEntry(*entry) for entry in usage.counts),
         )
 
+    def _take_usage_report(self) -> UsageReport:
+        if self._usage is None:
+            return UsageReport(0.0, WindowId(0))
+        # A new leader knows no counts.
+        return self._usage.take_report(is_full=self._leader_term == 0)
+
     def _primaries(self) -> frozenset[DatabaseId]:
         return frozenset(
             group.primary
@@ -378,6 +396,11 @@
                 leader_term=answer.leader_term,
             )
         self._leader_term = answer.leader_term
+        if self._usage is not None:
+            self._usage.confirm()
+            self._usage.apply_answer(
+                answer.true_s, WindowId(answer.usage_closed)
+            )
         self._finder.add_by_name(answer.members.splitlines())
         if answer.has_allowances:
             self._allowances.replace(
--- a/libs/control/siskinsail_control/_commands.py
+++ b/libs/control/siskinsail_control/_commands.py
@@ -12,6 +12,8 @@
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
 from siskinsail_types import VmId
+from siskinsail_usage import DecidedWindow
+from siskinsail_usage import WindowId
 
 
 class LeaderStarted(msgspec.Struct, frozen=True, tag=True):
@@ -122,6 +124,19 @@
     departed: tuple[BackendServer, ...] = ()
 
 
+class DecideUsage(msgspec.Struct, frozen=True, tag=True):
+    """Decide the counts of windows, before they are reported.
+
+    Parameters
+    ----------
+    delivered : tuple of WindowId
+        Windows that the platform has accepted since the last such command.
+    """
+
+    decided: tuple[DecidedWindow, ...]
+    delivered: tuple[WindowId, ...] = ()
+
+
 Command = (
     LeaderStarted
     | ApplyCatalogue
@@ -135,6 +150,7 @@
     | SuspendDaemon
     | DeregisterDaemon
     | RememberDatabases
+    | DecideUsage
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/libs/control/siskinsail_control/_daemon_table.py
+++ b/libs/control/siskinsail_control/_daemon_table.py
@@ -15,6 +15,12 @@
 from ._state import DaemonKey
 
 
+def process_name(key: DaemonKey) -> str:
+    """Return the name of a process of a daemon, unique to each start."""
+    vm, incarnation = key
+    return f'{vm}/{incarnation}'
+
+
 class SentAnswer(NamedTuple):
     """The last answer sent to a daemon; it may not have arrived."""
 
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -26,6 +26,7 @@
 from ._commands import SuspendDaemon
 from ._connection_lender import ConnectionLender
 from ._daemon_table import DaemonRecord
+from ._daemon_table import process_name
 from ._daemon_table import SentAnswer
 from ._group_watcher import GroupWatcher
 from ._leader_context import LeaderContext
@@ -40,18 +41,14 @@
 from ._messages import SyncAnswer
 from ._messages import SyncRequest
 from ._state import DaemonKey
+from ._usage_reporting import UsageDuty
+from ._usage_reporting import UsageReporting
 
 # Each change of the view makes every daemon call, so that the daemons that
 # start together are published together.
 SERVING_UPDATE_INTERVAL_S = 0.5
 
 
-def borrower_name(key: DaemonKey) -> str:
-    """Return the name of a daemon as a borrower of tokens."""
-    vm, incarnation = key
-    return f'{vm}/{incarnation}'
-
-
 def serving_daemons(
     records: Iterable[DaemonRecord],
 ) -> tuple[ServingDaemon, ...]:
@@ -78,9 +75,16 @@
         State of the leader.
     lender : TokenLender
         Lender of tokens, created for this leadership.
+    usage : UsageDuty or None
+        The duty to report usage, None if the platform does not ask for it.
     """
 
-    def __init__(self, context: LeaderContext, lender: TokenLender) -> None:
+    def __init__(
+        self,
+        context: LeaderContext,
+        lender: TokenLender,
+        usage: UsageDuty | None = None,
+    ) -> None:
         self._context = context
         self._settings = context.settings
         self._clock = context.clock
@@ -89,6 +93,7 @@
         self._connection_lender = ConnectionLender(
             context.settings, context.clock
         )
+        self._usage = None if usage is None else UsageReporting(context, usage)
         self._group_scopes: dict[ServiceId, anyio.CancelScope] = {}
         self._group_watchers: dict[ServiceId, GroupWatcher] = {}
         self._catalogue_version = -1
@@ -113,7 +118,7 @@
         """Lead until this member is no longer the leader."""
         state = self._context.state
         self._token_lender.begin(
-            frozenset(map(borrower_name, state.active_daemons)),
+            frozenset(map(process_name, state.active_daemons)),
             is_first=not state.had_daemons,
             lent_until_s=self._context.replica.earlier_lease_end_s,
             is_full_restart=self._context.replica.is_full_restart,
@@ -126,6 +131,8 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(persistence.run)
+                if self._usage is not None:
+                    tasks.start_soon(self._usage.run)
                 while self._context.still_leads:
                     await self._tick(tasks)
                     await anyio.sleep(self._settings.tick_s)
@@ -159,7 +166,7 @@
             record.peer_address = request.peer_address
             self._record_restart(key)
             self._token_lender.register(
-                borrower_name(key),
+                process_name(key),
                 {
                     balance.account: balance.balance
                     for balance in request.balances
@@ -168,11 +175,13 @@
             )
         self._confirm_last_answer(record, request)
         self._process_observations(request)
+        if self._usage is not None:
+            self._usage.record(process_name(key), request)
         self._connection_lender.report(
             key, request.connections, changes_only=request.changes_only
         )
         grants = self._token_lender.process_reports(
-            borrower_name(key), list(request.reports)
+            process_name(key), list(request.reports)
         )
         if request.leader_term != 0:
             await self._long_poll(record, request)
@@ -192,7 +201,7 @@
         ):
             return BorrowAnswer(Status.NOT_REGISTERED)
         grants = self._token_lender.process_reports(
-            borrower_name(key), list(request.reports)
+            process_name(key), list(request.reports)
         )
         # If this process was paused meanwhile, it may have lent tokens after
         # the end of the leader lease.
@@ -232,7 +241,7 @@
             registered = await self._context.propose(RegisterDaemon(*key))
         finally:
             self._registering.discard(key)
-        log_event('control_daemon_registered', daemon=borrower_name(key))
+        log_event('control_daemon_registered', daemon=process_name(key))
         if not isinstance(registered, Success):
             return False
         self._deregistered.discard(key)
@@ -248,7 +257,7 @@
         vm, incarnation = key
         for other in self._context.state.active_daemons:
             if other[0] == vm and other[1] != incarnation:
-                self._token_lender.record_exit(borrower_name(other))
+                self._token_lender.record_exit(process_name(other))
                 self._daemon_table.record_process_end(other)
 
     def _is_registered(self, key: DaemonKey, leader_term: int) -> bool:
@@ -264,9 +273,11 @@
         """Deregister a daemon that has released its lease."""
         if self._is_registered(key, request.leader_term):
             self._token_lender.process_reports(
-                borrower_name(key), list(request.reports)
+                process_name(key), list(request.reports)
             )
-            self._token_lender.record_exit(borrower_name(key))
+            self._token_lender.record_exit(process_name(key))
+            if self._usage is not None:
+                self._usage.record(process_name(key), request)
         await self._deregister(key)
         return self._status_answer(Status.OK)
 
@@ -275,7 +286,7 @@
         self._connection_lender.remove(key)
         self._daemon_table.remove(key)
         await self._context.propose(DeregisterDaemon(*key))
-        log_event('control_daemon_deregistered', daemon=borrower_name(key))
+        log_event('control_daemon_deregistered', daemon=process_name(key))
 
     def _release_daemon(self, key: DaemonKey) -> None:
         record = self._daemon_table.find(key)
@@ -377,10 +388,11 @@
         record.answer = SentAnswer(
             request.sequence, daemons, self._clock.now_s()
         )
-        self._token_lender.record_answer(borrower_name(record.key), daemons)
+        self._token_lender.record_answer(process_name(record.key), daemons)
         view = self._context.view_log.encoded_delta(
             ViewVersion(request.view_version)
         )
+        usage = self._usage
         return SyncAnswer(
             Status.OK,
             self._context.vm,
@@ -391,6 +403,8 @@
             tuple(Allowance(*item) for item in (allowances or {}).items()),
             daemons,
             self._members,
+            true_s=0.0 if usage is None else usage.stated_true_s,
+            usage_closed=0 if usage is None else usage.closed,
         )
 
     def _confirm_last_answer(
@@ -402,7 +416,7 @@
             answer.sequence == request.answered_sequence
         ):
             self._token_lender.record_confirmation(
-                borrower_name(record.key), answer.daemons, answer.sent_s
+                process_name(record.key), answer.daemons, answer.sent_s
             )
 
     def _status_answer(self, status: Status) -> SyncAnswer:
--- a/libs/control/siskinsail_control/_messages.py
+++ b/libs/control/siskinsail_control/_messages.py
@@ -163,6 +163,14 @@
     allowed: int
 
 
+class UsageEntry(_Message, frozen=True):
+    """Requests of a client account in a window, since the process started."""
+
+    window: int
+    account: AccountId
+    requests: int
+
+
 class SyncRequest(_Message, frozen=True):
     """State of a daemon; an answer with status ``OK`` renews its lease."""
 
@@ -182,6 +190,9 @@
     answered_sequence: int = 0
     used_share_s: float = 0.0
     peer_address: str = ''
+    wall_s: float = 0.0
+    usage_window: int = 0
+    usage: tuple[UsageEntry, ...] = ()
 
     @property
     def is_idle(self) -> bool:
@@ -206,6 +217,8 @@
     allowances: tuple[Allowance, ...] = ()
     daemons: int = 0
     members: str = ''
+    true_s: float = 0.0
+    usage_closed: int = 0
 
 
 class BorrowRequest(_Message, frozen=True):
--- a/libs/control/siskinsail_control/_service.py
+++ b/libs/control/siskinsail_control/_service.py
@@ -38,6 +38,7 @@
 from ._replica_port import ControlReplica
 from ._settings import ControlSettings
 from ._state import ControlState
+from ._usage_reporting import UsageDuty
 
 ELECTION_CHECK_INTERVAL_S = 0.02
 TOKEN_SECRET_BYTES = 32
@@ -71,6 +72,8 @@
     admin : DatabaseAdmin or None
         Client for orders to databases; by default it calls their
         administration ports.
+    usage : UsageDuty or None
+        The duty to report usage, None if the platform does not ask for it.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         metrics: ControlMetrics,
         generate_secret: Callable[[], bytes] = _generate_secret,
         admin: DatabaseAdmin | None = None,
+        usage: UsageDuty | None = None,
     ) -> None:
         self._settings = settings
         self._vm = vm
@@ -97,6 +101,7 @@
         self._metrics = metrics
         self._generate_secret = generate_secret
         self._admin = admin or AdminClient(network, settings.admin_timeout_s)
+        self._usage = usage
         self._leadership: Leadership | None = None
         server.register(SYNC_METHOD, self._sync)
         server.register(BORROW_METHOD, self._borrow)
@@ -141,7 +146,9 @@
             self._admin,
         )
         log_event('control_leader', term=context.term)
-        self._leadership = Leadership(context, self._make_lender())
+        self._leadership = Leadership(
+            context, self._make_lender(), self._usage
+        )
         try:
             await self._leadership.run()
         finally:
--- a/libs/control/siskinsail_control/_state.py
+++ b/libs/control/siskinsail_control/_state.py
@@ -14,9 +14,12 @@
 from siskinsail_types import GroupPhase
 from siskinsail_types import ServiceId
 from siskinsail_types import VmId
+from siskinsail_usage import LedgerSnapshot
+from siskinsail_usage import UsageLedger
 
 from ._commands import AddTokenSecret
 from ._commands import ApplyCatalogue
+from ._commands import DecideUsage
 from ._commands import decode_command
 from ._commands import DeregisterDaemon
 from ._commands import FinishPrimaryChange
@@ -57,6 +60,7 @@
     had_daemons: bool
     databases: tuple[BackendServer, ...] = ()
     departed: tuple[BackendServer, ...] = ()
+    usage: LedgerSnapshot = LedgerSnapshot()
 
 
 # A delayed announcement of a stopped database arrives within minutes.
@@ -90,6 +94,7 @@
         self._had_daemons = False
         self._databases: dict[DatabaseId, BackendServer] = {}
         self._departed: dict[DatabaseId, BackendServer] = {}
+        self._usage = UsageLedger()
         self._on_change: Callable[[], None] | None = None
 
     @property
@@ -145,6 +150,11 @@
         """Last announcements of databases that were stopped, by name."""
         return self._departed
 
+    @property
+    def usage(self) -> UsageLedger:
+        """Decided counts of usage reports."""
+        return self._usage
+
     def set_change_listener(
         self, on_change: Callable[[], None] | None
     ) -> None:
@@ -170,6 +180,7 @@
                 self._had_daemons,
                 tuple(self._databases.values()),
                 tuple(self._departed.values()),
+                self._usage.snapshot(),
             )
         )
 
@@ -188,6 +199,7 @@
         self._departed = {
             server.database: server for server in snapshot.departed
         }
+        self._usage.restore(snapshot.usage)
         self._notify_change()
 
     def _notify_change(self) -> None:
@@ -301,3 +313,11 @@
         while len(self._departed) > MAX_DEPARTED_DATABASES:
             del self._departed[next(iter(self._departed))]
         return ACCEPTED
+
+    @_apply.register
+    def _(self, command: DecideUsage) -> bytes:
+        for window in command.delivered:
+            self._usage.record_delivery(window)
+        # A window that an earlier leader has decided keeps its counts.
+        accepted = [self._usage.decide(one) for one in command.decided]
+        return ACCEPTED if all(accepted) else REJECTED
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -74,6 +74,12 @@
   allowed @1 :UInt32;
 }
 
+struct UsageEntry {
+  window @0 :UInt64;
+  account @1 :Text;
+  requests @2 :UInt64;
+}
+
 struct SyncRequest {
   incarnation @0 :Text;
   dataCentre @1 :Text;
@@ -99,6 +105,13 @@
   # In a registration: host:port at which other daemons call this one; empty
   # if it runs no statements for them.
   peerAddress @15 :Text;
+  # Wall clock of the daemon in seconds; 0 if it does not count usage.
+  wallS @16 :Float64;
+  # All counts of earlier windows are in this call and those before it.
+  usageWindow @17 :UInt64;
+  # Counts that changed since the last call that was answered. Counts are
+  # cumulative for the process.
+  usage @18 :List(UsageEntry);
 }
 
 struct SyncAnswer {
@@ -115,6 +128,10 @@
   daemons @7 :UInt32;
   # Names of the control members, one on each line.
   members @8 :Text;
+  # True time in seconds at the leader; 0 if it is not known.
+  trueS @9 :Float64;
+  # Last window whose counts are decided; 0 if there is none.
+  usageClosed @10 :UInt64;
 }
 
 struct BorrowRequest {
--- a/libs/statements/siskinsail_statements/_operation.py
+++ b/libs/statements/siskinsail_statements/_operation.py
@@ -58,6 +58,8 @@
     needs_samples : bool
         Whether this daemon needs position samples for such reads, since it
         sends them to a replica itself.
+    is_counted : bool
+        Whether it was counted for usage reports.
     """
 
     request_id: RequestId
@@ -69,6 +71,7 @@
     attempts: int = 0
     served_by: str = ''
     needs_samples: bool = False
+    is_counted: bool = False
 
     @property
     def service(self) -> ServiceId:
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -11,6 +11,7 @@
 from siskinsail_types import EvidenceSink
 from siskinsail_types import RequestError
 from siskinsail_types import ServiceId
+from siskinsail_usage import UsageCounter
 
 from ._admission import busy_error
 from ._failures import UnansweredError
@@ -61,6 +62,8 @@
         Source of time.
     metrics : StatementMetrics
         Counts failed attempts.
+    usage : UsageCounter or None
+        Counts requests for usage reports, None if there are none.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         evidence: EvidenceSink,
         clock: Clock,
         metrics: StatementMetrics,
+        usage: UsageCounter | None = None,
     ) -> None:
         self._settings = settings
         self._views = views
@@ -82,7 +86,7 @@
             settings.retry_share, settings.retry_reserve
         )
         self._sender = StatementSender(
-            settings, primaries, replicas, evidence, clock, metrics
+            settings, primaries, replicas, evidence, clock, metrics, usage
         )
 
     @property
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -24,6 +24,7 @@
 from siskinsail_types import EvidenceSink
 from siskinsail_types import KeyDigest
 from siskinsail_types import RouteId
+from siskinsail_usage import UsageCounter
 
 from ._admission import SessionAdmission
 from ._connection import SharedConnection
@@ -101,6 +102,8 @@
     forwarder : Forwarder or None
         Calls the daemons that hold connections; None if this daemon runs all
         statements itself.
+    usage : UsageCounter or None
+        Counts requests for usage reports, None if there are none.
 
     Examples
     --------
@@ -119,6 +122,7 @@
         clock: Clock,
         registry: CollectorRegistry,
         forwarder: Forwarder | None = None,
+        usage: UsageCounter | None = None,
     ) -> None:
         metrics = StatementMetrics(registry)
         self._metrics = metrics
@@ -126,7 +130,14 @@
         primaries = PrimaryFinder(views, self._pools.pool, clock)
         replicas = ReplicaSelector(self._pools.pool, settings.latency_s, clock)
         runner = StatementRunner(
-            settings, views, primaries, replicas, evidence, clock, metrics
+            settings,
+            views,
+            primaries,
+            replicas,
+            evidence,
+            clock,
+            metrics,
+            usage,
         )
         self._sampler = PositionSampler(settings, runner, primaries, clock)
         self._holder = HolderService(
--- a/libs/statements/siskinsail_statements/_statement_sender.py
+++ b/libs/statements/siskinsail_statements/_statement_sender.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_admission import ANONYMOUS_ACCOUNT
 from siskinsail_backend import ConnectionFailedError
 from siskinsail_backend import DatabaseError
 from siskinsail_backend import DatabaseRefusalError
@@ -18,6 +19,8 @@
 from siskinsail_types import Position
 from siskinsail_types import RequestError
 from siskinsail_types import ServiceId
+from siskinsail_usage import UsageCounter
+from siskinsail_usage import WindowId
 
 from ._connection import ExchangeResult
 from ._connection import NotRunError
@@ -65,6 +68,8 @@
         Source of time.
     metrics : StatementMetrics
         Counts failed attempts.
+    usage : UsageCounter or None
+        Counts requests for usage reports, None if there are none.
     """
 
     def __init__(
@@ -75,6 +80,7 @@
         evidence: EvidenceSink,
         clock: Clock,
         metrics: StatementMetrics,
+        usage: UsageCounter | None = None,
     ) -> None:
         self._settings = settings
         self._primaries = primaries
@@ -82,6 +88,7 @@
         self._evidence = evidence
         self._clock = clock
         self._metrics = metrics
+        self._usage = usage
         self._samples: dict[ServiceId, PositionSamples] = {}
 
     def samples(self, service: ServiceId) -> PositionSamples:
@@ -135,20 +142,44 @@
             min_position = self._min_position(operation, target, connection)
             if target.bound is not None and min_position is None:
                 return Failure(PositionUnknownError())
-            exchange = await send(
-                connection, min_position, deadline_s - sent_s
-            )
             if connection.is_forwarded:
+                exchange = await send(
+                    connection, min_position, deadline_s - sent_s
+                )
                 return self._handle_forwarded(
                     operation, target, exchange, sent_s
                 )
-            return self._handle_exchange(
+            window = self._count(operation)
+            exchange = await send(
+                connection, min_position, deadline_s - sent_s
+            )
+            result = self._handle_exchange(
                 operation, target, exchange, sent_s, min_position
             )
+            if window is not None and is_refused_unrun(result):
+                self._take_back(operation, window)
+            return result
         finally:
             if not kept_connections:
                 pool.release(connection)
 
+    def _count(self, operation: Operation) -> WindowId | None:
+        """Count an operation once, when it is first sent to a database."""
+        if (
+            self._usage is None
+            or operation.is_counted
+            or operation.account == ANONYMOUS_ACCOUNT
+        ):
+            return None
+        operation.is_counted = True
+        return self._usage.count(operation.account)
+
+    def _take_back(self, operation: Operation, window: WindowId) -> None:
+        """Remove the count of an operation that a database refused."""
+        if self._usage is not None:
+            self._usage.take_back(operation.account, window)
+        operation.is_counted = False
+
     def _min_position(
         self,
         operation: Operation,
@@ -285,6 +316,27 @@
         return operation.deadline_s - self._clock.now_s()
 
 
+# Answers after which no part of the statement has run.
+_UNRUN_CODES = frozenset(
+    (
+        StatementErrorCode.BUSY,
+        StatementErrorCode.LAGGING,
+        StatementErrorCode.READ_ONLY,
+        StatementErrorCode.WRONG_INSTANCE,
+        StatementErrorCode.TOO_MANY_CONNECTIONS,
+        StatementErrorCode.UNKNOWN_PREPARED,
+    )
+)
+
+
+def is_refused_unrun(result: Result[Reply, AttemptError]) -> bool:
+    """Return whether a database answered that it did not run a statement."""
+    if isinstance(result, Success):
+        return False
+    error = result.failure()
+    return isinstance(error, StatementError) and error.code in _UNRUN_CODES
+
+
 def query_function(
     operation: Operation, statement: Query | Execute
 ) -> SendFunction:
