Bound usage reports under failures and count a request once

A review of the usage reports found: a read that was sent again after an unanswered call was counted by both holders; a leader with a wrong wall clock could decide windows before they begin; a daemon that read an answer late counted in past windows; a window that the platform did not answer held back the next ones until they were overdue; a command of many windows could exceed the size that the log takes, and was then proposed for ever; the size of the pending windows was computed anew for each decided window.

Forwarded calls say whether the request may have been counted. Daemons use the latest time of the last three answers.

--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -324,7 +324,7 @@
         )
         self._is_last_call_answered = False
         version = 0 if self._needs_full_view else self._view.version
-        usage = self._take_usage_report()
+        usage = self._take_usage_report(leaving=leaving)
         return SyncRequest(
             incarnation=self._identity.incarnation,
             data_centre=self._identity.data_centre,
@@ -352,11 +352,13 @@
             usage=tuple(UsageEntry(*entry) for entry in usage.counts),
         )
 
-    def _take_usage_report(self) -> UsageReport:
+    def _take_usage_report(self, *, leaving: bool) -> UsageReport:
         if self._usage is None:
             return UsageReport(0.0, WindowId(0))
-        # A new leader knows no counts.
-        return self._usage.take_report(is_full=self._leader_term == 0)
+        # A new leader knows no counts, and a daemon that leaves may not know
+        # that there is one.
+        is_full = leaving or self._leader_term == 0
+        return self._usage.take_report(is_full=is_full)
 
     def _primaries(self) -> frozenset[DatabaseId]:
         return frozenset(
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -276,8 +276,8 @@
                 process_name(key), list(request.reports)
             )
             self._token_lender.record_exit(process_name(key))
-            if self._usage is not None:
-                self._usage.record(process_name(key), request)
+        if self._usage is not None and self._context.state.is_active(key):
+            self._usage.record(process_name(key), request)
         await self._deregister(key)
         return self._status_answer(Status.OK)
 
--- a/libs/control/siskinsail_control/_usage_reporting.py
+++ b/libs/control/siskinsail_control/_usage_reporting.py
@@ -1,5 +1,6 @@
 """Gathering, decision and delivery of usage reports by the leader."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -26,8 +27,11 @@
 from ._daemon_table import process_name
 from ._leader_context import LeaderContext
 from ._messages import SyncRequest
+from ._state import ACCEPTED
 
 CHECK_INTERVAL_S = 0.1
+# The replicated log takes no command of more than 1 MiB.
+MAX_DECISION_BYTES = 256 * 1024
 
 
 class UsageApi(Protocol):
@@ -82,7 +86,7 @@
         self._metrics = duty.metrics
         self._started_s = context.clock.now_s()
         self._ledger = context.state.usage
-        self._time = FleetTime(context.clock)
+        self._time = FleetTime(context.clock, duty.settings.gathering_s)
         self._collector = UsageCollector()
         self._plan = UsageCallPlan(duty.settings, context.clock)
         # Processes that count usage. Those of an earlier version do not.
@@ -97,12 +101,7 @@
 
         They keep the time of the former leader meanwhile.
         """
-        if (
-            self._time.has_majority
-            or self._context.daemon_table.earlier_leases_ended
-        ):
-            return self._time.true_s
-        return 0.0
+        return self._time.true_s if self._time.is_known else 0.0
 
     @property
     def closed(self) -> WindowId:
@@ -144,7 +143,7 @@
     async def _run_decisions(self) -> None:
         while True:
             self._update_daemons()
-            if self._up_since is not None:
+            if self._up_since is not None and self._time.is_known:
                 await self._decide(self._up_since)
             await anyio.sleep(CHECK_INTERVAL_S)
 
@@ -155,39 +154,55 @@
         self._time.refresh(daemons)
         self._reporting &= daemons
         self._collector.close(self.closed, daemons)
-        if self._up_since is None and self._reporting:
+        if self._up_since is None and self._reporting and self._time.is_known:
             self._up_since = self._current_window
 
     async def _decide(self, up_since: WindowId) -> None:
         """Decide the windows that are complete, in their order."""
-        decided = []
+        decided = self._complete_windows(up_since)
+        if not decided:
+            return
+        delivered = tuple(self._delivered)
+        kept = set(self._ledger.pending).difference(delivered)
+        committed = await self._context.propose(
+            DecideUsage(decided, delivered)
+        )
+        if not isinstance(committed, Success):
+            return
+        del self._delivered[: len(delivered)]
+        if committed.unwrap().output == ACCEPTED:
+            self._record_decision(decided)
+        self._record_given_up(kept.difference(self._ledger.pending))
+
+    def _complete_windows(
+        self, up_since: WindowId
+    ) -> tuple[DecidedWindow, ...]:
+        """Return the windows to decide now, as many as a command may have."""
         known = min(up_since, self._collector.first_window or up_since)
         first = first_open_window(
             self._settings, self.closed, known, self._time.true_s
         )
+        decided: list[DecidedWindow] = []
+        size_bytes = 0
         for number in range(first, self._current_window):
             window = WindowId(number)
             if not self._may_close(window):
                 break
-            decided.append(
-                DecidedWindow(window, self._collector.counts(window))
-            )
-        if not decided:
-            return
-        delivered = tuple(self._delivered)
-        committed = await self._context.propose(
-            DecideUsage(tuple(decided), delivered)
-        )
-        if isinstance(committed, Success):
-            del self._delivered[: len(delivered)]
-            self._record_decision(decided)
+            counts = DecidedWindow(window, self._collector.counts(window))
+            size_bytes += counts.size_bytes
+            if decided and size_bytes > MAX_DECISION_BYTES:
+                break
+            decided.append(counts)
+        return tuple(decided)
 
     def _may_close(self, window: WindowId) -> bool:
+        knows_fleet = self._context.daemon_table.earlier_leases_ended
         state = GatheringState(
             self._time.true_s,
             self._context.clock.now_s() - self._started_s,
-            self._context.daemon_table.earlier_leases_ended
+            knows_fleet
             and self._collector.have_reported(window, self._awaited()),
+            knows_fleet,
         )
         return may_close(self._settings, window, state)
 
@@ -205,10 +220,10 @@
                 awaited.append(name)
         return awaited
 
-    def _record_decision(self, decided: list[DecidedWindow]) -> None:
-        self._metrics.decided.inc(len(decided))
+    def _record_decision(self, decided: Iterable[DecidedWindow]) -> None:
         self._metrics.pending.set(len(self._ledger.pending))
         for window in decided:
+            self._metrics.decided.inc()
             log_event(
                 'usage_decided',
                 window=window.window,
@@ -217,6 +232,12 @@
                 late_s=round(self._lag_s(window.window), 3),
             )
 
+    def _record_given_up(self, windows: set[WindowId]) -> None:
+        """Record decided windows that the replicated state keeps no more."""
+        if windows:
+            self._metrics.given_up.inc(len(windows))
+            log_event('usage_given_up', windows=sorted(windows))
+
     async def _run_deliveries(self) -> None:
         while True:
             window = None
@@ -238,12 +259,13 @@
 
     async def _deliver(self, decided: DecidedWindow) -> None:
         status = await self._api.report(decided, self._context.term)
-        self._plan.record_answer(status)
+        self._plan.record_answer(decided.window, status)
         self._metrics.calls.labels(str(status)).inc()
         lag_s = self._lag_s(decided.window)
         if status == 200:
             self._delivered.append(decided.window)
             self._metrics.delivered.inc()
+            self._metrics.pending.set(len(self._undelivered()))
             self._metrics.lag_s.set(lag_s)
         elif self._plan.is_refused:
             self._metrics.refused.inc()
--- a/libs/statements/siskinsail_statements/_connection.py
+++ b/libs/statements/siskinsail_statements/_connection.py
@@ -106,6 +106,9 @@
         """Whether a transaction may be open on the connection."""
         return self._is_in_transaction
 
+    def mark_counted(self) -> None:
+        """Do nothing, since this daemon counts the request itself."""
+
     async def begin(
         self,
         variables: SessionVariables,
--- a/libs/statements/siskinsail_statements/_forwarded_connection.py
+++ b/libs/statements/siskinsail_statements/_forwarded_connection.py
@@ -74,6 +74,7 @@
         self._waiter = waiter
         # Number of the open transaction at its holder, 0 for none.
         self._transaction = 0
+        self._is_counted = False
 
     @property
     def account(self) -> AccountId:
@@ -90,6 +91,10 @@
         """Whether a transaction is open at a holder."""
         return self._transaction != 0
 
+    def mark_counted(self) -> None:
+        """Have the holder not count the request again."""
+        self._is_counted = True
+
     async def begin(
         self,
         variables: SessionVariables,
@@ -229,6 +234,7 @@
             weight=self._waiter.weight,
             priority=self._waiter.priority,
             transaction=self._transaction,
+            is_counted=self._is_counted,
         )
 
     async def _call(
--- a/libs/statements/siskinsail_statements/_forwarding_messages.py
+++ b/libs/statements/siskinsail_statements/_forwarding_messages.py
@@ -102,6 +102,7 @@
     weight: float = 0.0
     priority: int = 0
     transaction: int = 0
+    is_counted: bool = False
 
     @property
     def session_position(self) -> Position | None:
--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -367,6 +367,7 @@
             now_s - call.elapsed_s,
             now_s + call.timeout_s,
             session_position,
+            is_counted=call.is_counted,
         )
 
     def _target(
--- a/libs/statements/siskinsail_statements/_operation.py
+++ b/libs/statements/siskinsail_statements/_operation.py
@@ -59,7 +59,8 @@
         Whether this daemon needs position samples for such reads, since it
         sends them to a replica itself.
     is_counted : bool
-        Whether it was counted for usage reports.
+        Whether it was counted for usage reports, or may have been by a
+        holder that did not answer.
     """
 
     request_id: RequestId
--- a/libs/statements/siskinsail_statements/_ports.py
+++ b/libs/statements/siskinsail_statements/_ports.py
@@ -41,6 +41,10 @@
         """Whether a transaction may be open."""
         ...
 
+    def mark_counted(self) -> None:
+        """Record that the request was counted for usage reports before."""
+        ...
+
     async def begin(
         self,
         variables: SessionVariables,
--- a/libs/statements/siskinsail_statements/_statement_sender.py
+++ b/libs/statements/siskinsail_statements/_statement_sender.py
@@ -143,12 +143,16 @@
             if target.bound is not None and min_position is None:
                 return Failure(PositionUnknownError())
             if connection.is_forwarded:
+                if operation.is_counted:
+                    connection.mark_counted()
                 exchange = await send(
                     connection, min_position, deadline_s - sent_s
                 )
-                return self._handle_forwarded(
+                result = self._handle_forwarded(
                     operation, target, exchange, sent_s
                 )
+                operation.is_counted |= may_have_run(result)
+                return result
             window = self._count(operation)
             exchange = await send(
                 connection, min_position, deadline_s - sent_s
@@ -156,7 +160,7 @@
             result = self._handle_exchange(
                 operation, target, exchange, sent_s, min_position
             )
-            if window is not None and is_refused_unrun(result):
+            if window is not None and not may_have_run(result):
                 self._take_back(operation, window)
             return result
         finally:
@@ -329,12 +333,14 @@
 )
 
 
-def is_refused_unrun(result: Result[Reply, AttemptError]) -> bool:
-    """Return whether a database answered that it did not run a statement."""
+def may_have_run(result: Result[Reply, AttemptError]) -> bool:
+    """Return whether a part of a statement that was sent may have run."""
     if isinstance(result, Success):
-        return False
+        return True
     error = result.failure()
-    return isinstance(error, StatementError) and error.code in _UNRUN_CODES
+    if isinstance(error, StatementError):
+        return error.code not in _UNRUN_CODES
+    return isinstance(error, UnansweredError)
 
 
 def query_function(
--- a/libs/statements/siskinsail_statements/forwarding.capnp
+++ b/libs/statements/siskinsail_statements/forwarding.capnp
@@ -76,6 +76,8 @@
   priority @19 :Int32;
   # Number of an open transaction.
   transaction @20 :UInt64;
+  # Whether the request may have been counted for usage reports before.
+  isCounted @21 :Bool;
 }
 
 struct ForwardedAnswer {
--- a/libs/usage/siskinsail_usage/_closing.py
+++ b/libs/usage/siskinsail_usage/_closing.py
@@ -24,11 +24,14 @@
     is_complete : bool
         Whether each process that may have counts has reported past the
         window.
+    knows_fleet : bool
+        Whether each process that an earlier leader knew has called this one.
     """
 
     true_s: float
     leading_s: float
     is_complete: bool
+    knows_fleet: bool = True
 
 
 def may_close(
@@ -44,10 +47,10 @@
         return False
     if state.is_complete:
         return True
-    return (
-        waited_s >= settings.gathering_s
-        and state.leading_s >= settings.lease_s
+    limit_s = (
+        settings.gathering_s if state.knows_fleet else settings.registration_s
     )
+    return waited_s >= limit_s and state.leading_s >= settings.lease_s
 
 
 def first_open_window(
--- a/libs/usage/siskinsail_usage/_counter.py
+++ b/libs/usage/siskinsail_usage/_counter.py
@@ -1,5 +1,7 @@
 """Counts of the requests that a daemon sent to databases."""
 
+from collections import deque
+
 from siskinsail_types import AccountId
 from siskinsail_types import Clock
 
@@ -12,6 +14,9 @@
 
 # Ten minutes of windows of 5 s. The leader decides a window within seconds.
 MAX_OPEN_WINDOWS = 120
+# A daemon that was paused reads an answer late, and the time in it is then
+# that of before the pause.
+_TIME_ANSWERS = 3
 
 
 class UsageCounter:
@@ -44,7 +49,9 @@
         self._changed: set[tuple[WindowId, AccountId]] = set()
         # Entries of the last report, until it is answered.
         self._unconfirmed: set[tuple[WindowId, AccountId]] = set()
-        self._offset_s: float | None = None
+        # True time less the monotonic clock, by the last answers. Each is too
+        # small by the time that the answer took.
+        self._offsets_s: deque[float] = deque(maxlen=_TIME_ANSWERS)
         self._open_window = WindowId(0)
         self._closed = WindowId(0)
 
@@ -54,7 +61,7 @@
         counts = self._counts.get(window)
         if counts is None:
             counts = self._counts[window] = {}
-            self._limit_windows()
+            self._limit_windows(window)
         counts[account] = counts.get(account, 0) + 1
         self._changed.add((window, account))
         self._metrics.counted.inc()
@@ -78,6 +85,9 @@
         is_full : bool
             Whether the leader may not know the earlier reports.
         """
+        if not self._offsets_s:
+            # The windows of the counts may be wrong.
+            return UsageReport(self._clock.wall_s(), WindowId(0))
         self._changed |= self._unconfirmed
         if is_full:
             self._changed = {
@@ -86,8 +96,7 @@
                 for account in counts
             }
         self._unconfirmed, self._changed = self._changed, set()
-        if self._offset_s is not None:
-            self._open_window = self._current_window()
+        self._open_window = self._current_window()
         return UsageReport(
             self._clock.wall_s(),
             self._open_window,
@@ -112,17 +121,16 @@
             Last window whose counts are decided, 0 if there is none.
         """
         if true_s > 0:
-            self._offset_s = true_s - self._clock.now_s()
-            self._correct_windows()
+            self._record_time(true_s)
         self._closed = max(self._closed, closed)
         for window in [one for one in self._counts if one <= closed]:
             self._drop(window)
 
     @property
     def _true_s(self) -> float:
-        if self._offset_s is None:
+        if not self._offsets_s:
             return self._clock.wall_s()
-        return self._clock.now_s() + self._offset_s
+        return self._clock.now_s() + max(self._offsets_s)
 
     def _current_window(self) -> WindowId:
         """Return the window of the present time.
@@ -133,10 +141,32 @@
         window = window_at(self._true_s, self._window_s)
         return max(window, self._open_window, WindowId(self._closed + 1))
 
-    def _correct_windows(self) -> None:
+    def _record_time(self, true_s: float) -> None:
+        if not self._offsets_s:
+            self._shift_windows(
+                window_at(true_s, self._window_s)
+                - window_at(self._clock.wall_s(), self._window_s)
+            )
+        self._offsets_s.append(true_s - self._clock.now_s())
+        self._move_back()
+
+    def _shift_windows(self, windows: int) -> None:
+        """Correct the windows of counts that the wall clock determined."""
+        counts = {
+            WindowId(window + windows): by_account
+            for window, by_account in self._counts.items()
+        }
+        self._counts = counts
+        self._changed = {
+            (window, account)
+            for window, by_account in counts.items()
+            for account in by_account
+        }
+
+    def _move_back(self) -> None:
         """Move counts out of windows that have not begun yet.
 
-        They were counted by a wrong wall clock.
+        A leader with a wrong clock may have stated a time far ahead.
         """
         window = window_at(self._true_s, self._window_s)
         if self._open_window > window + 1:
@@ -149,9 +179,9 @@
                 counts[account] = counts.get(account, 0) + count
                 self._changed.add((current, account))
 
-    def _limit_windows(self) -> None:
+    def _limit_windows(self, current: WindowId) -> None:
         while len(self._counts) > MAX_OPEN_WINDOWS:
-            dropped = self._drop(min(self._counts))
+            dropped = self._drop(min(self._counts.keys() - {current}))
             self._metrics.dropped.inc(sum(dropped.values()))
 
     def _drop(self, window: WindowId) -> dict[AccountId, int]:
--- a/libs/usage/siskinsail_usage/_fleet_time.py
+++ b/libs/usage/siskinsail_usage/_fleet_time.py
@@ -19,10 +19,14 @@
     ----------
     clock : Clock
         Clock of the leader.
+    settle_s : float
+        Time after which the clocks that are known are used even if they are
+        too few to find a wrong one, in seconds.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, settle_s: float) -> None:
         self._clock = clock
+        self._settled_s = clock.now_s() + settle_s
         self._offsets_s: dict[str, float] = {}
         self._median_offset_s = self._own_offset_s
 
@@ -32,8 +36,16 @@
         return self._clock.now_s() + self._median_offset_s
 
     @property
-    def has_majority(self) -> bool:
-        """Whether one wrong clock cannot determine the time."""
+    def is_known(self) -> bool:
+        """Whether the time may be used.
+
+        A wrong wall clock alone must not determine it, since a window that is
+        decided before it begins is lost.
+        """
+        return self._has_majority or self._clock.now_s() >= self._settled_s
+
+    @property
+    def _has_majority(self) -> bool:
         return len(self._offsets_s) + 1 >= _MIN_SOURCES
 
     def record(self, daemon: str, wall_s: float) -> None:
--- a/libs/usage/siskinsail_usage/_ledger.py
+++ b/libs/usage/siskinsail_usage/_ledger.py
@@ -47,6 +47,7 @@
         self._last_decided = WindowId(0)
         self._last_delivered = WindowId(0)
         self._pending: dict[WindowId, DecidedWindow] = {}
+        self._pending_bytes = 0
 
     @property
     def last_decided(self) -> WindowId:
@@ -69,19 +70,23 @@
             return False
         self._last_decided = decided.window
         self._pending[decided.window] = decided
-        size_bytes = sum(one.size_bytes for one in self._pending.values())
+        self._pending_bytes += decided.size_bytes
         while len(self._pending) > MAX_PENDING_WINDOWS or (
-            size_bytes > MAX_PENDING_BYTES and len(self._pending) > 1
+            self._pending_bytes > MAX_PENDING_BYTES and len(self._pending) > 1
         ):
-            oldest = self._pending.pop(next(iter(self._pending)))
-            size_bytes -= oldest.size_bytes
+            self._remove(next(iter(self._pending)))
         return True
 
     def record_delivery(self, window: WindowId) -> None:
         """Record that the platform has accepted a window."""
-        self._pending.pop(window, None)
+        self._remove(window)
         self._last_delivered = max(self._last_delivered, window)
 
+    def _remove(self, window: WindowId) -> None:
+        removed = self._pending.pop(window, None)
+        if removed is not None:
+            self._pending_bytes -= removed.size_bytes
+
     def snapshot(self) -> LedgerSnapshot:
         """Return the whole state."""
         return LedgerSnapshot(
@@ -95,3 +100,4 @@
         self._last_decided = snapshot.last_decided
         self._last_delivered = snapshot.last_delivered
         self._pending = {one.window: one for one in snapshot.pending}
+        self._pending_bytes = sum(one.size_bytes for one in snapshot.pending)
--- a/libs/usage/siskinsail_usage/_metrics.py
+++ b/libs/usage/siskinsail_usage/_metrics.py
@@ -63,6 +63,11 @@
             'Requests reported after their window was decided.',
             registry=registry,
         )
+        self.given_up = Counter(
+            'siskinsail_usage_windows_given_up',
+            'Decided windows that were never accepted and are not kept.',
+            registry=registry,
+        )
         self.pending = Gauge(
             'siskinsail_usage_windows_pending',
             'Decided windows that the platform has not accepted yet.',
--- a/libs/usage/siskinsail_usage/_settings.py
+++ b/libs/usage/siskinsail_usage/_settings.py
@@ -5,6 +5,9 @@
 # Part of the time until a report is due in which counts may still arrive. The
 # rest is left for the calls to the platform.
 _GATHERING_SHARE = 0.4
+# A fleet registers with a new leader within 5 s. Until then more counts are
+# missing than those of a daemon that has failed.
+_REGISTRATION_SHARE = 0.7
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -33,3 +36,8 @@
     def gathering_s(self) -> float:
         """Longest wait for counts after the end of a window, in seconds."""
         return self.late_s * _GATHERING_SHARE
+
+    @property
+    def registration_s(self) -> float:
+        """The same wait while daemons have not called a new leader yet."""
+        return self.late_s * _REGISTRATION_SHARE
