Test where requests are counted for usage reports

With the field of forwarded calls switched off, a read that was sent again four times was counted four times.

--- a/libs/statements/tests/holder_fleet.py
+++ b/libs/statements/tests/holder_fleet.py
@@ -23,8 +23,12 @@
 from siskinsail_statements import StatementSettings
 from siskinsail_types import GroupPhase
 from siskinsail_types import TransportError
+from siskinsail_usage import CounterMetrics
+from siskinsail_usage import UsageCounter
+from siskinsail_usage import UsageSettings
 
 DATA_CENTRE = 'a'
+USAGE_WINDOW_S = 5.0
 
 
 @dataclass
@@ -126,6 +130,12 @@
             LinkClients(fleet, name),
             CLOCK,
         )
+        self.usage = UsageCounter(
+            UsageSettings(window_s=USAGE_WINDOW_S),
+            CLOCK,
+            CounterMetrics(CollectorRegistry()),
+        )
+        self.usage.apply_answer(CLOCK.wall_s(), 0)
         self.service = StatementService(
             settings,
             self.views,
@@ -135,11 +145,17 @@
             CLOCK,
             CollectorRegistry(),
             self.forwarder,
+            self.usage,
         )
 
     def allowed_connections(self, database):
         return self.connections
 
+    def counted(self):
+        """Return how many requests this daemon counted for usage reports."""
+        report = self.usage.take_report(is_full=True)
+        return sum(entry.requests for entry in report.counts)
+
     async def open(self, route='latest', key='agent-key'):
         opened = await self.service.open(route, api_key_digest(key))
         return opened.unwrap()
