Delay promotions that return to a control member within the lease

The platform does not allow a duty to be held in the order A, B, A within lease_ms. The replicated log names the member of each change of primary, and a member that promoted in a group itself less than lease_ms ago waits if another one followed. The wait runs beside the fencing. Where lease_ms is not set nothing waits.

--- a/libs/control/siskinsail_control/_commands.py
+++ b/libs/control/siskinsail_control/_commands.py
@@ -63,10 +63,17 @@
 
 
 class StartPrimaryChange(msgspec.Struct, frozen=True, tag=True):
-    """Remove the primary of a group and start ``term``."""
+    """Remove the primary of a group and start ``term``.
+
+    Parameters
+    ----------
+    holder : VmId
+        Control member that promotes; empty in an earlier version.
+    """
 
     group: ServiceId
     term: Term
+    holder: VmId = VmId('')
 
 
 class FinishPrimaryChange(msgspec.Struct, frozen=True, tag=True):
--- a/libs/control/siskinsail_control/_leader_context.py
+++ b/libs/control/siskinsail_control/_leader_context.py
@@ -16,6 +16,7 @@
 from ._daemon_table import DaemonTable
 from ._membership import Membership
 from ._metrics import ControlMetrics
+from ._promotion_turns import PromotionTurns
 from ._replica_port import ControlReplica
 from ._settings import ControlSettings
 from ._state import ControlState
@@ -41,6 +42,8 @@
         Log index of the first entry of this leader, or a later index.
     admin : DatabaseAdmin
         Client of the administration ports of databases.
+    promotion_turns : PromotionTurns
+        Promotions of this member, also in earlier terms.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         metrics: ControlMetrics,
         first_index: int,
         admin: DatabaseAdmin,
+        promotion_turns: PromotionTurns,
     ) -> None:
         self.settings = settings
         self.vm = vm
@@ -63,6 +67,7 @@
         self.clock = clock
         self.metrics = metrics
         self.admin = admin
+        self.promotion_turns = promotion_turns
         self.term = replica.term
         self.view_log = ViewLog(first_index)
         self.daemon_table = DaemonTable(
--- a/libs/control/siskinsail_control/_primary_change.py
+++ b/libs/control/siskinsail_control/_primary_change.py
@@ -242,8 +242,11 @@
             (server.term for server in servers), default=Term(0)
         )
         term = Term(max(state.term, highest_known_term) + 1)
+        wait_s = self._context.promotion_turns.wait_s(
+            self._group, self._context.state.promoters(self._group)
+        )
         started = await self._context.propose(
-            StartPrimaryChange(self._group, term)
+            StartPrimaryChange(self._group, term, self._context.vm)
         )
         if (
             not isinstance(started, Success)
@@ -260,11 +263,12 @@
         fenced: list[FencedDatabase] = []
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._context.daemon_table.wait_settled, version)
+            tasks.start_soon(self._wait_turn, wait_s)
             fenced = await self._fence(term)
         candidate = self._choose_candidate(fenced)
         if not self._context.holds_leader_lease:
             return
-        if not await self._admin.promote(candidate.server, term):
+        if not await self._promote(candidate, term):
             # The database may have been promoted all the same. The next
             # attempt uses a new term.
             return
@@ -281,6 +285,21 @@
             return
         self._record_completion(candidate, term, reason, started_s)
 
+    async def _wait_turn(self, wait_s: float) -> None:
+        if wait_s > 0:
+            log_event(
+                'control_promotion_delayed',
+                group=self._group,
+                wait_s=round(wait_s, 3),
+            )
+        await anyio.sleep(wait_s)
+
+    async def _promote(self, candidate: FencedDatabase, term: Term) -> bool:
+        try:
+            return await self._admin.promote(candidate.server, term)
+        finally:
+            self._context.promotion_turns.record(self._group, term)
+
     def _record_completion(
         self,
         candidate: FencedDatabase,
--- a/libs/control/siskinsail_control/_service.py
+++ b/libs/control/siskinsail_control/_service.py
@@ -35,6 +35,7 @@
 from ._messages import SyncRequest
 from ._metrics import ControlMetrics
 from ._operator_request_handler import OperatorRequestHandler
+from ._promotion_turns import PromotionTurns
 from ._replica_port import ControlReplica
 from ._settings import ControlSettings
 from ._state import ControlState
@@ -102,6 +103,9 @@
         self._generate_secret = generate_secret
         self._admin = admin or AdminClient(network, settings.admin_timeout_s)
         self._usage = usage
+        self._promotion_turns = PromotionTurns(
+            vm, settings.duty_lease_s, clock
+        )
         self._leadership: Leadership | None = None
         server.register(SYNC_METHOD, self._sync)
         server.register(BORROW_METHOD, self._borrow)
@@ -144,6 +148,7 @@
             self._metrics,
             self._replica.applied_index,
             self._admin,
+            self._promotion_turns,
         )
         log_event('control_leader', term=context.term)
         self._leadership = Leadership(
--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -69,6 +69,9 @@
         a call, which is not needed where daemons forward statements
     equal_connection_shares : bool
         divide connections equally, regardless of demand (baseline)
+    duty_lease_s : float
+        time within which promotions of a group must not return to a control
+        member after another one promoted; 0 to not wait
     tick_s : float
         interval between two checks of the leader
     """
@@ -105,6 +108,7 @@
     connection_reserve: Share = 0.0
     connections_by_demand: bool = False
     equal_connection_shares: bool = False
+    duty_lease_s: Seconds = 0.0
     tick_s: Seconds = 0.05
 
     @property
--- a/libs/control/siskinsail_control/_state.py
+++ b/libs/control/siskinsail_control/_state.py
@@ -1,6 +1,7 @@
 """Replicated state machine of control."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from functools import singledispatchmethod
 
 import msgspec
@@ -13,6 +14,7 @@
 from siskinsail_types import DatabaseId
 from siskinsail_types import GroupPhase
 from siskinsail_types import ServiceId
+from siskinsail_types import Term
 from siskinsail_types import VmId
 from siskinsail_usage import LedgerSnapshot
 from siskinsail_usage import UsageLedger
@@ -61,10 +63,13 @@
     databases: tuple[BackendServer, ...] = ()
     departed: tuple[BackendServer, ...] = ()
     usage: LedgerSnapshot = LedgerSnapshot()
+    promoters: dict[ServiceId, dict[VmId, Term]] = {}
 
 
 # A delayed announcement of a stopped database arrives within minutes.
 MAX_DEPARTED_DATABASES = 1_000
+# More than the control members of a fleet.
+MAX_PROMOTERS = 16
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Snapshot)
@@ -95,6 +100,7 @@
         self._databases: dict[DatabaseId, BackendServer] = {}
         self._departed: dict[DatabaseId, BackendServer] = {}
         self._usage = UsageLedger()
+        self._promoters: dict[ServiceId, dict[VmId, Term]] = {}
         self._on_change: Callable[[], None] | None = None
 
     @property
@@ -155,6 +161,13 @@
         """Decided counts of usage reports."""
         return self._usage
 
+    def promoters(self, group: ServiceId) -> Mapping[VmId, Term]:
+        """Return the last term in which each member promoted in a group.
+
+        The empty name stands for members of an earlier version.
+        """
+        return self._promoters.get(group, {})
+
     def set_change_listener(
         self, on_change: Callable[[], None] | None
     ) -> None:
@@ -181,6 +194,7 @@
                 tuple(self._databases.values()),
                 tuple(self._departed.values()),
                 self._usage.snapshot(),
+                self._promoters,
             )
         )
 
@@ -200,6 +214,7 @@
             server.database: server for server in snapshot.departed
         }
         self._usage.restore(snapshot.usage)
+        self._promoters = snapshot.promoters
         self._notify_change()
 
     def _notify_change(self) -> None:
@@ -253,6 +268,11 @@
         self._groups[command.group] = GroupState(
             command.group, command.term, GroupPhase.CHANGING, None
         )
+        promoters = self._promoters.setdefault(command.group, {})
+        promoters.pop(command.holder, None)
+        promoters[command.holder] = command.term
+        while len(promoters) > MAX_PROMOTERS:
+            del promoters[next(iter(promoters))]
         return ACCEPTED
 
     @_apply.register
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -51,6 +51,8 @@
         self.term = 0
         self.index = 0
         self.has_lease = True
+        # Whether proposals take effect without an answer.
+        self.loses_answers = False
         self.states: list[ControlState] = []
 
     def elect(self, member: str | None) -> None:
@@ -77,7 +79,10 @@
         await anyio.lowlevel.checkpoint()
         if not self.is_leader:
             return Failure(NotLeaderError(str(self._log.leader)))
-        return Success(self._log.commit(command))
+        applied = self._log.commit(command)
+        if self._log.loses_answers:
+            return Failure(NotLeaderError(''))
+        return Success(applied)
 
     @property
     def applied_index(self) -> int:
@@ -143,7 +148,7 @@
         self.borrowers: dict[str, Borrower] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
 
-    async def start_member(self, name: str) -> None:
+    async def start_member(self, name: str, usage=None) -> None:
         server = PeerServer(self.network, SECRET, VmId(name))
         state = ControlState()
         self.log.states.append(state)
@@ -158,6 +163,7 @@
             self.clock,
             lambda: Lender(limits, self.clock),
             ControlMetrics(prometheus_client.CollectorRegistry()),
+            usage=usage,
         )
         self.services[name] = service
         self.members[VmId(name)] = await self.tasks.start(server.serve, LOCAL)
@@ -169,6 +175,7 @@
         data_centre: str = 'a',
         incarnation: str = '1',
         peer_address: str = '',
+        counter=None,
     ) -> ControlAgent:
         borrower = Borrower(LimitSettings(), self.clock)
         self.borrowers[vm] = borrower
@@ -186,6 +193,7 @@
             self.clock,
             borrower,
             ControlMetrics(prometheus_client.CollectorRegistry()),
+            usage=counter,
         )
         usage = FakeUsage()
         agent.set_connection_usage(usage)
--- a/libs/control/tests/test_primary_change.py
+++ b/libs/control/tests/test_primary_change.py
@@ -10,6 +10,9 @@
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import BackendServerEntry
 from siskinsail_catalogue import ServiceEntry
+from siskinsail_control import ControlSettings
+from siskinsail_control import encode_command
+from siskinsail_control import StartPrimaryChange
 from siskinsail_control._admin_client import FencedDatabase
 from siskinsail_control._primary_change import promotion_rank
 from siskinsail_types import DatabaseRole
@@ -18,6 +21,7 @@
 from siskinsail_types import Placement
 
 from .conftest import apply
+from .conftest import Fleet
 from .conftest import wait_until
 from .database_group import DatabaseGroup
 from .database_group import group_state
@@ -222,3 +226,36 @@
     agent.database_unreachable(before.primary)
     await wait_steady(agent, not_primary=before.primary)
     assert killed.lease_state is not LeaseState.HELD
+
+
+@pytest.mark.parametrize(
+    ('holder', 'duty_lease_s', 'waits'),
+    [('m1', 4.0, True), ('m0', 4.0, False), ('m1', 0.0, False)],
+)
+async def test_a_promotion_does_not_return_within_the_lease(
+    holder, duty_lease_s, waits
+):
+    """Guards against the order A, B, A of the machines that promote."""
+    settings = ControlSettings(duty_lease_s=duty_lease_s)
+    async with anyio.create_task_group() as tasks:
+        fleet = Fleet(tasks, settings)
+        await fleet.start_member('m0')
+        fleet.log.elect('m0')
+        agent = fleet.start_agent('vm')
+        await wait_until(lambda: agent.lease_state is LeaseState.HELD)
+        databases = DatabaseGroup(
+            fleet, (await fleet.start_operator_port('vm'),)
+        )
+        await databases.start()
+        entry = ServiceEntry(owner='o', name='s', slots=5, connections=30)
+        await apply(agent, 'service', entry)
+        await wait_steady(agent)
+        # The promotion by m0 was at most half a second before.
+        promoted_s = fleet.clock.now_s()
+        term = group_state(agent).term + 1
+        change = StartPrimaryChange('s', term, holder)
+        fleet.log.commit(encode_command(change))
+        await wait_steady(agent, after_term=term)
+        elapsed_s = fleet.clock.now_s() - promoted_s
+        assert (elapsed_s >= 3.5) is waits
+        tasks.cancel_scope.cancel()
--- a/libs/control/tests/test_state.py
+++ b/libs/control/tests/test_state.py
@@ -11,6 +11,7 @@
 from siskinsail_control import AddTokenSecret
 from siskinsail_control import ApplyCatalogue
 from siskinsail_control import ControlState
+from siskinsail_control import DecideUsage
 from siskinsail_control import DeregisterDaemon
 from siskinsail_control import encode_command
 from siskinsail_control import FinishPrimaryChange
@@ -21,6 +22,7 @@
 from siskinsail_control import SuspendDaemon
 from siskinsail_control._commands import RememberDatabases
 from siskinsail_types import GroupPhase
+from siskinsail_usage import DecidedWindow
 
 from .conftest import account
 from .test_membership import SERVER
@@ -40,6 +42,10 @@
     DeregisterDaemon('vm', '2'),
     RememberDatabases((SERVER, msgspec.structs.replace(SERVER, database='x'))),
     RememberDatabases((), ('x',)),
+    DecideUsage((DecidedWindow(7, {'a': 2}), DecidedWindow(8, {}))),
+    DecideUsage((DecidedWindow(8, {'a': 1}),), (7,)),
+    StartPrimaryChange('g', 5, 'core-1'),
+    StartPrimaryChange('g', 6, 'core-2'),
 ]
 
 
@@ -65,6 +71,8 @@
     assert state.daemons == {('vm', '1')}
     assert not state.is_active(('vm', '1'))
     assert state.had_daemons
+    assert state.usage.pending == {8: DecidedWindow(8, {})}
+    assert state.promoters('g') == {'': 4, 'core-1': 5, 'core-2': 6}
 
 
 @pytest.mark.parametrize(
--- a/libs/usage/siskinsail_usage/_ledger.py
+++ b/libs/usage/siskinsail_usage/_ledger.py
@@ -11,8 +11,10 @@
 # can never start again.
 MAX_PENDING_WINDOWS = 240
 MAX_PENDING_BYTES = 1 << 20
-# Encoded size of a count and of the length of a name.
-_COUNT_BYTES = 10
+# Greatest encoded size of a count and of the length of a name.
+_COUNT_BYTES = 12
+# Greatest encoded size of a window without its counts.
+_WINDOW_BYTES = 32
 
 
 class DecidedWindow(msgspec.Struct, frozen=True):
@@ -24,7 +26,7 @@
     @property
     def size_bytes(self) -> int:
         """Upper bound of the encoded size, in bytes."""
-        return _COUNT_BYTES + sum(
+        return _WINDOW_BYTES + sum(
             len(account.encode()) + _COUNT_BYTES for account in self.counts
         )
 
--- a/libs/usage/tests/test_decision.py
+++ b/libs/usage/tests/test_decision.py
@@ -114,8 +114,8 @@
     ('accounts', 'kept'),
     [
         (2, MAX_PENDING_WINDOWS),
-        # 1,000 names of 40 bytes make 50 KB in each window.
-        (1_000, MAX_PENDING_BYTES // (1_000 * 50 + 10)),
+        # 1,000 names of 40 bytes make 52 KB in each window.
+        (1_000, MAX_PENDING_BYTES // (1_000 * 52 + 32)),
         # One window is larger than the limit; its report is not lost.
         (30_000, 1),
     ],
