--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
+OptionalSeconds = Annotated[float, msgspec.Meta(ge=0, le=600)]
 GroupSize = Annotated[int, msgspec.Meta(ge=1, le=7)]
 Share = Annotated[float, msgspec.Meta(ge=0, lt=1)]
 
@@ -98,7 +99,8 @@
     # accept the connection and answer.
     fence_grace_s: Seconds = 0.1
     admin_timeout_s: Seconds = 0.5
-    group_size: GroupSize = 3
+    group_size: OptionalSeconds = Annotated[float, msgspec.Meta(ge=0, le=600)]
+GroupSize = 3
     # Until then an isolated daemon keeps one connection to each database for
     # reads on public routes, which allow an age of a few minutes at most.
     registration_s: Seconds = 300.0
@@ -108,7 +110,7 @@
     connection_reserve: Share = 0.0
     connections_by_demand: bool = False
     equal_connection_shares: bool = False
-    duty_lease_s: Seconds = 0.0
+    duty_lease_s: OptionalSeconds = 0.0
     tick_s: Seconds = 0.05
 
     @property
