--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -99,8 +99,7 @@
     # accept the connection and answer.
     fence_grace_s: Seconds = 0.1
     admin_timeout_s: Seconds = 0.5
-    group_size: OptionalSeconds = Annotated[float, msgspec.Meta(ge=0, le=600)]
-GroupSize = 3
+    group_size: GroupSize = 3
     # Until then an isolated daemon keeps one connection to each database for
     # reads on public routes, which allow an age of a few minutes at most.
     registration_s: Seconds = 300.0
