Check the decision of usage reports as a specification

The pause after a usage call is counted from its start, since a platform that answers nothing for 4 s took more than a window for each call.

--- a/libs/control/tests/test_usage_reporting.py
+++ b/libs/control/tests/test_usage_reporting.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
+import time
 
 import anyio
 import msgspec
@@ -296,6 +297,8 @@
 
 async def test_a_daemon_that_stops_with_its_leader_loses_no_counts(reporting):
     """Guards against counts that only the former leader knew."""
+    # At the start of a window, so that it is not decided before the change.
+    await anyio.sleep(SETTINGS.window_s - time.time() % SETTINGS.window_s)
     reporting.count('a', requests=3)
     await reporting.wait_synced('a')
     agent = reporting.agents['a']
--- a/libs/model/siskinsail_model/_suite.py
+++ b/libs/model/siskinsail_model/_suite.py
@@ -15,6 +15,8 @@
 from ._primary import BROKEN_PRIMARY_RULES
 from ._primary import primary_specification
 from ._specification import Specification
+from ._usage import BROKEN_USAGE_RULES
+from ._usage import usage_specification
 
 
 class Case(NamedTuple):
@@ -50,6 +52,9 @@
     yield Case(order_specification(), '')
     for name, order in BROKEN_ORDER_RULES.items():
         yield Case(order_specification(order), name)
+    yield Case(usage_specification(), '')
+    for name, usage in BROKEN_USAGE_RULES.items():
+        yield Case(usage_specification(usage), name)
 
 
 def small_specifications() -> list[Specification]:
@@ -60,4 +65,5 @@
         loan_specification(),
         lease_specification(),
         order_specification(),
+        usage_specification(),
     ]
--- a/libs/usage/siskinsail_usage/_call_plan.py
+++ b/libs/usage/siskinsail_usage/_call_plan.py
@@ -37,6 +37,7 @@
         self._clock = clock
         # The former duty holder may have made a call just before.
         self._next_call_s = clock.now_s() + settings.lease_s
+        self._called_s = clock.now_s()
         self._pause_s = _FIRST_PAUSE_S
         self._is_refused = False
         # Calls of each window without success.
@@ -56,8 +57,10 @@
         with the fewest calls, so that no report waits for one that the
         platform does not answer, and then the earliest.
         """
-        if self._is_refused or self._clock.now_s() < self._next_call_s:
+        now_s = self._clock.now_s()
+        if self._is_refused or now_s < self._next_call_s:
             return None
+        self._called_s = now_s
 
         def is_overdue(window: WindowId) -> bool:
             end_s = window_end_s(window, self._settings.window_s)
@@ -86,7 +89,8 @@
             wait_s = max(self._pause_s, self._interval_s)
             max_pause_s = _MAX_PAUSE_WINDOWS * self._settings.window_s
             self._pause_s = min(2 * self._pause_s, max_pause_s)
-        self._next_call_s = self._clock.now_s() + wait_s
+        # A call that took long was a pause itself.
+        self._next_call_s = self._called_s + wait_s
 
     def _record_failure(self, window: WindowId) -> None:
         self._failed_calls[window] = self._failed_calls.get(window, 0) + 1
--- a/libs/usage/tests/test_decision.py
+++ b/libs/usage/tests/test_decision.py
@@ -207,6 +207,7 @@
         self.plan = UsageCallPlan(settings, self.clock)
         self.pending = []
         self.last_decided = WINDOW - 1
+        self.refused = None
         self.calls = []
 
     def run(self, seconds, status, call_s=0.0):
@@ -221,8 +222,9 @@
             if window is not None:
                 self.calls.append((now_s, window))
                 self.clock.advance(call_s)
-                self.plan.record_answer(window, status)
-                if status == 200:
+                answer = 503 if window == self.refused else status
+                self.plan.record_answer(window, answer)
+                if answer == 200:
                     self.pending.remove(window)
             self.clock.advance(0.1)
 
@@ -247,6 +249,7 @@
     ('status', 'call_s'),
     [
         # The platform does not answer, slowly or at once.
+        (NO_ANSWER, 4.0),
         (NO_ANSWER, 2.0),
         (NO_ANSWER, 0.0),
         # It has no room, or is unavailable.
@@ -267,6 +270,17 @@
     assert len(platform.calls) <= 120 / 1.5
 
 
+def test_a_window_that_is_refused_holds_no_other_one_back():
+    """Guards against later windows that wait until one is overdue."""
+    platform = Platform()
+    platform.run(20.0, 200)
+    platform.refused = WINDOW + 5
+    platform.run(60.0, 200)
+    for at, window in platform.calls:
+        if window > WINDOW + 5:
+            assert at - (window + 1) * 5.0 < 3.0
+
+
 @pytest.mark.parametrize('calls_per_s', [0.0, 0.5, 2.0, 20.0])
 def test_a_backlog_is_delivered_within_the_limit_of_calls(calls_per_s):
     """Guards against 429 for a promotion after an outage of the platform."""
