--- a/libs/statements/siskinsail_statements/_operation.py
+++ b/libs/statements/siskinsail_statements/_operation.py
@@ -61,6 +61,8 @@
     is_counted : bool
         Whether it was counted for usage reports, or may have been by a
         holder that did not answer.
+    waited_s : float
+        Wait of the last attempt for a connection of this daemon, in seconds.
     """
 
     request_id: RequestId
@@ -73,6 +75,7 @@
     served_by: str = ''
     needs_samples: bool = False
     is_counted: bool = False
+    waited_s: float = 0.0
 
     @property
     def service(self) -> ServiceId:
