--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -29,6 +29,9 @@
 from siskinsail_types import SiskinsailError
 from siskinsail_types import ViewVersion
 from siskinsail_types import VmId
+from siskinsail_usage import UsageCounter
+from siskinsail_usage import UsageReport
+from siskinsail_usage import WindowId
 
 from ._allowances import Allowances
 from ._leader_client import forward_request
@@ -48,6 +51,7 @@
 from ._messages import SYNC_METHOD
 from ._messages import SyncAnswer
 from ._messages import SyncRequest
+from ._messages import UsageEntry
 from ._metrics import ControlMetrics
 from ._observations import DatabaseObservations
 from ._settings import ControlSettings
@@ -103,6 +107,8 @@
         Metrics of the view version and of the bytes sent.
     resolve : callable
         Returns the peer address of a member that is not in ``members``.
+    usage : UsageCounter or None
+        Counts to report, None if the platform does not ask for them.
     """
 
     def __init__(
@@ -116,12 +122,14 @@
         borrower: TokenBorrower,
         metrics: ControlMetrics,
         resolve: AddressResolver = resolve_no_address,
+        usage: UsageCounter | None = None,
     ) -> None:
         self._settings = settings
         self._identity = identity
         self._clock = clock
         self._borrower = borrower
         self._metrics = metrics
+        self._usage = usage
         self._finder = LeaderFinder(
             members, network, secret, identity.vm, resolve
         )
@@ -324,6 +332,7 @@
         )
         self._is_last_call_answered = False
         version = 0 if self._needs_full_view else self._view.version
+        usage = self._take_usage_report(leaving=leaving)
         return SyncRequest(
             incarnation=self._identity.incarnation,
             data_centre=self._identity.data_centre,
@@ -349,6 +358,9 @@
             view_digests=(
                 self._registration_digests() if is_registration else b''
             ),
+            wall_s=usage.wall_s,
+            usage_window=usage.open_window,
+            usage=tuple(UsageEntry(*entry) for entry in usage.counts),
         )
 
     def _registration_digests(self) -> bytes:
@@ -359,6 +371,14 @@
             self._view_digests = view_digests(self._view)
         return self._view_digests
 
+    def _take_usage_report(self, *, leaving: bool) -> UsageReport:
+        if self._usage is None:
+            return UsageReport(0.0, WindowId(0))
+        # A new leader knows no counts, and a daemon that leaves may not know
+        # that there is one.
+        is_full = leaving or self._leader_term == 0
+        return self._usage.take_report(is_full=is_full)
+
     def _primaries(self) -> frozenset[DatabaseId]:
         return frozenset(
             group.primary
@@ -398,6 +418,11 @@
                 leader_term=answer.leader_term,
             )
         self._leader_term = answer.leader_term
+        if self._usage is not None:
+            self._usage.confirm()
+            self._usage.apply_answer(
+                answer.true_s, WindowId(answer.usage_closed)
+            )
         self._finder.add_by_name(answer.members.splitlines())
         if answer.has_allowances:
             self._allowances.replace(
--- a/libs/control/siskinsail_control/_commands.py
+++ b/libs/control/siskinsail_control/_commands.py
@@ -12,6 +12,8 @@
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
 from siskinsail_types import VmId
+from siskinsail_usage import DecidedWindow
+from siskinsail_usage import WindowId
 
 
 class LeaderStarted(msgspec.Struct, frozen=True, tag=True):
@@ -61,10 +63,17 @@
 
 
 class StartPrimaryChange(msgspec.Struct, frozen=True, tag=True):
-    """Remove the primary of a group and start ``term``."""
+    """Remove the primary of a group and start ``term``.
+
+    Parameters
+    ----------
+    holder : VmId
+        Control member that promotes; empty in an earlier version.
+    """
 
     group: ServiceId
     term: Term
+    holder: VmId = VmId('')
 
 
 class FinishPrimaryChange(msgspec.Struct, frozen=True, tag=True):
@@ -122,6 +131,19 @@
     departed: tuple[BackendServer, ...] = ()
 
 
+class DecideUsage(msgspec.Struct, frozen=True, tag=True):
+    """Decide the counts of windows, before they are reported.
+
+    Parameters
+    ----------
+    delivered : tuple of WindowId
+        Windows that the platform has accepted since the last such command.
+    """
+
+    decided: tuple[DecidedWindow, ...]
+    delivered: tuple[WindowId, ...] = ()
+
+
 Command = (
     LeaderStarted
     | ApplyCatalogue
@@ -135,6 +157,7 @@
     | SuspendDaemon
     | DeregisterDaemon
     | RememberDatabases
+    | DecideUsage
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
+OptionalSeconds = Annotated[float, msgspec.Meta(ge=0, le=600)]
 GroupSize = Annotated[int, msgspec.Meta(ge=1, le=7)]
 Share = Annotated[float, msgspec.Meta(ge=0, lt=1)]
 
@@ -72,6 +73,9 @@
     view_digests : bool
         let a daemon send digests of its view when it registers, so that a
         new leader sends only what differs
+    duty_lease_s : float
+        time within which promotions of a group must not return to a control
+        member after another one promoted; 0 to not wait
     tick_s : float
         interval between two checks of the leader
     """
@@ -109,6 +113,7 @@
     connections_by_demand: bool = False
     equal_connection_shares: bool = False
     view_digests: bool = False
+    duty_lease_s: OptionalSeconds = 0.0
     tick_s: Seconds = 0.05
 
     @property
--- a/libs/control/siskinsail_control/_state.py
+++ b/libs/control/siskinsail_control/_state.py
@@ -1,6 +1,7 @@
 """Replicated state machine of control."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from functools import singledispatchmethod
 
 import msgspec
@@ -13,10 +14,14 @@
 from siskinsail_types import DatabaseId
 from siskinsail_types import GroupPhase
 from siskinsail_types import ServiceId
+from siskinsail_types import Term
 from siskinsail_types import VmId
+from siskinsail_usage import LedgerSnapshot
+from siskinsail_usage import UsageLedger
 
 from ._commands import AddTokenSecret
 from ._commands import ApplyCatalogue
+from ._commands import DecideUsage
 from ._commands import decode_command
 from ._commands import DeregisterDaemon
 from ._commands import FinishPrimaryChange
@@ -57,10 +62,14 @@
     had_daemons: bool
     databases: tuple[BackendServer, ...] = ()
     departed: tuple[BackendServer, ...] = ()
+    usage: LedgerSnapshot = LedgerSnapshot()
+    promoters: dict[ServiceId, dict[VmId, Term]] = {}
 
 
 # A delayed announcement of a stopped database arrives within minutes.
 MAX_DEPARTED_DATABASES = 1_000
+# More than the control members of a fleet.
+MAX_PROMOTERS = 16
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Snapshot)
@@ -90,6 +99,8 @@
         self._had_daemons = False
         self._databases: dict[DatabaseId, BackendServer] = {}
         self._departed: dict[DatabaseId, BackendServer] = {}
+        self._usage = UsageLedger()
+        self._promoters: dict[ServiceId, dict[VmId, Term]] = {}
         self._on_change: Callable[[], None] | None = None
 
     @property
@@ -145,6 +156,18 @@
         """Last announcements of databases that were stopped, by name."""
         return self._departed
 
+    @property
+    def usage(self) -> UsageLedger:
+        """Decided counts of usage reports."""
+        return self._usage
+
+    def promoters(self, group: ServiceId) -> Mapping[VmId, Term]:
+        """Return the last term in which each member promoted in a group.
+
+        The empty name stands for members of an earlier version.
+        """
+        return self._promoters.get(group, {})
+
     def set_change_listener(
         self, on_change: Callable[[], None] | None
     ) -> None:
@@ -170,6 +193,8 @@
                 self._had_daemons,
                 tuple(self._databases.values()),
                 tuple(self._departed.values()),
+                self._usage.snapshot(),
+                self._promoters,
             )
         )
 
@@ -188,6 +213,8 @@
         self._departed = {
             server.database: server for server in snapshot.departed
         }
+        self._usage.restore(snapshot.usage)
+        self._promoters = snapshot.promoters
         self._notify_change()
 
     def _notify_change(self) -> None:
@@ -241,6 +268,11 @@
         self._groups[command.group] = GroupState(
             command.group, command.term, GroupPhase.CHANGING, None
         )
+        promoters = self._promoters.setdefault(command.group, {})
+        promoters.pop(command.holder, None)
+        promoters[command.holder] = command.term
+        while len(promoters) > MAX_PROMOTERS:
+            del promoters[next(iter(promoters))]
         return ACCEPTED
 
     @_apply.register
@@ -301,3 +333,11 @@
         while len(self._departed) > MAX_DEPARTED_DATABASES:
             del self._departed[next(iter(self._departed))]
         return ACCEPTED
+
+    @_apply.register
+    def _(self, command: DecideUsage) -> bytes:
+        for window in command.delivered:
+            self._usage.record_delivery(window)
+        # A window that an earlier leader has decided keeps its counts.
+        accepted = [self._usage.decide(one) for one in command.decided]
+        return ACCEPTED if all(accepted) else REJECTED
--- a/libs/statements/siskinsail_statements/_operation.py
+++ b/libs/statements/siskinsail_statements/_operation.py
@@ -58,6 +58,9 @@
     needs_samples : bool
         Whether this daemon needs position samples for such reads, since it
         sends them to a replica itself.
+    is_counted : bool
+        Whether it was counted for usage reports, or may have been by a
+        holder that did not answer.
     waited_s : float
         Wait of the last attempt for a connection of this daemon, in seconds.
     """
@@ -71,6 +74,7 @@
     attempts: int = 0
     served_by: str = ''
     needs_samples: bool = False
+    is_counted: bool = False
     waited_s: float = 0.0
 
     @property
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -26,6 +26,7 @@
 from siskinsail_types import EvidenceSink
 from siskinsail_types import KeyDigest
 from siskinsail_types import RouteId
+from siskinsail_usage import UsageCounter
 
 from ._admission import SessionAdmission
 from ._connection import SharedConnection
@@ -110,6 +111,8 @@
     loads : LoadSource or None
         Recent load of the databases; without it, ``settings.locality`` has
         no effect.
+    usage : UsageCounter or None
+        Counts requests for usage reports, None if there are none.
 
     Examples
     --------
@@ -129,6 +132,7 @@
         registry: CollectorRegistry,
         forwarder: Forwarder | None = None,
         loads: LoadSource | None = None,
+        usage: UsageCounter | None = None,
     ) -> None:
         metrics = StatementMetrics(registry)
         self._metrics = metrics
@@ -151,7 +155,14 @@
             self._pools.pool, settings.latency_s, clock, loads, locality
         )
         runner = StatementRunner(
-            settings, views, primaries, replicas, evidence, clock, metrics
+            settings,
+            views,
+            primaries,
+            replicas,
+            evidence,
+            clock,
+            metrics,
+            usage,
         )
         self._explainer = StatementExplainer(
             views,
