Bound the buffers and connections of front and core

External parties could make buffers grow without a limit. Lines, bodies, answers, session values and calls of peers reserve their bytes before they grow, reading stops meanwhile, and what finds no room in time is refused as not run or closed.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := types settings telemetry lifecycle net journal consensus catalogue limits \
+PACKAGES := types settings telemetry lifecycle budget net journal consensus catalogue limits \
 	sessions load holders admission backend control proxy statements daemon cli model bench
 FOLDERS := $(foreach p,$(PACKAGES),libs/$(p)) platform
 STAMP := $(VENV)/.installed
--- a/libs/net/siskinsail_net/__init__.py
+++ b/libs/net/siskinsail_net/__init__.py
@@ -1,6 +1,9 @@
 """Network interface, fault injection, HTTP/1.1 and RPCs between daemons."""
 
 from ._accept import ConnectionCount as ConnectionCount
+from ._admission import admitted as admitted
+from ._bounded_stream import PIECE_BYTES as PIECE_BYTES
+from ._bounded_stream import send_in_time as send_in_time
 from ._faults import FaultNetwork as FaultNetwork
 from ._faults import FaultRule as FaultRule
 from ._faults import FaultStream as FaultStream
--- a/libs/net/siskinsail_net/_accept.py
+++ b/libs/net/siskinsail_net/_accept.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
+import math
 import socket
 
 import anyio
@@ -18,6 +20,10 @@
 ConnectionHandler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
 
 
+# Pause of a server at its limit, so that closed connections make room.
+_FULL_PAUSE_S = 0.01
+
+
 class ConnectionCount:
     """Connections that a server has accepted and not closed yet."""
 
@@ -25,6 +31,11 @@
         self._is_listening = False
         self._open = 0
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return self._open
+
     @property
     def has_any(self) -> bool:
         """Whether connections are open or may still be accepted."""
@@ -53,6 +64,7 @@
     connections: anyio.abc.TaskGroup,
     waits: PhaseWaits,
     count: ConnectionCount,
+    max_open: float = math.inf,
 ) -> None:
     """Accept connections until ``CLOSING`` begins, then close the listener.
 
@@ -68,12 +80,16 @@
         Serves one accepted connection in a task of ``connections``.
     count : ConnectionCount
         Counts each connection from its acceptance until it is served.
+    max_open : float
+        Number of open connections from which on others wait in the queue of
+        the kernel.
     """
     raw_socket = listener.extra(anyio.abc.SocketAttribute.raw_socket)
 
     async def serve(accepted: socket.socket) -> None:
         try:
             stream = await anyio.abc.SocketStream.from_socket(accepted)
+            stop_reading_ahead(stream)
             await handle(stream)
         except OSError:
             # The peer reset the connection before it was wrapped.
@@ -81,10 +97,13 @@
         finally:
             count.remove()
 
-    def accept_waiting() -> bool:
+    def accept_waiting(max_open: float) -> bool:
         """Accept what waits; return whether resources were sufficient."""
         try:
-            while (accepted := _accept(raw_socket)) is not None:
+            while count.open_connections < max_open:
+                accepted = _accept(raw_socket)
+                if accepted is None:
+                    break
                 count.add()
                 connections.start_soon(serve, accepted)
         except OSError as error:
@@ -99,9 +118,11 @@
         with waits.until(StopPhase.CLOSING):
             while True:
                 await anyio.wait_readable(raw_socket)
-                if not accept_waiting():
+                if not accept_waiting(max_open):
                     await anyio.sleep(_ACCEPT_RETRY_S)
-        accept_waiting()
+                elif count.open_connections >= max_open:
+                    await anyio.sleep(_FULL_PAUSE_S)
+        accept_waiting(math.inf)
         # Closed without a further suspension, in which connections could
         # complete that nobody accepts.
         raw_socket.close()
@@ -109,6 +130,21 @@
         count.stop_listening()
 
 
+def stop_reading_ahead(stream: anyio.abc.SocketStream) -> None:
+    """Let a stream read from its connection only while it is asked to.
+
+    A new transport reads all that arrives, and anyio pauses it only after a
+    ``receive`` that had to wait. A client that always sends could otherwise
+    fill the memory.
+    """
+    transport = getattr(stream, '_transport', None)
+    if transport is None:
+        return
+    # The connection may have been reset already.
+    with contextlib.suppress(RuntimeError):
+        transport.pause_reading()
+
+
 def _accept(listening: socket.socket) -> socket.socket | None:
     """Return the next connection, None if none is waiting."""
     while True:
--- /dev/null
+++ b/libs/net/siskinsail_net/_bounded_stream.py
@@ -0,0 +1,30 @@
+"""Sending to clients that may not read."""
+
+import anyio
+import anyio.abc
+
+from siskinsail_budget import BudgetSettings
+
+PIECE_BYTES = 64 * 1024
+"""Size of one write of an answer, in bytes."""
+
+
+async def send_in_time(
+    stream: anyio.abc.ByteStream, data: bytes, settings: BudgetSettings
+) -> None:
+    """Send data; the client must read each piece of it in time.
+
+    Raises
+    ------
+    BrokenResourceError
+        If the client does not read.
+    """
+    if not settings.is_limited:
+        await stream.send(data)
+        return
+    for start in range(0, len(data), PIECE_BYTES):
+        try:
+            with anyio.fail_after(settings.idle_s):
+                await stream.send(data[start : start + PIECE_BYTES])
+        except TimeoutError as error:
+            raise anyio.BrokenResourceError from error
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -10,12 +10,20 @@
 import anyio.abc
 import httptools
 
+from siskinsail_budget import ProcessResources
+from siskinsail_budget import Role
 from siskinsail_lifecycle import PhaseWaits
 from siskinsail_lifecycle import StopPhase
+from siskinsail_telemetry import log_event
 from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
+from siskinsail_types import SystemClock
 
 from ._accept import ConnectionCount
+from ._admission import admitted
+from ._bounded_stream import send_in_time
+from ._http_guard import AnswerSizes
+from ._http_guard import HttpGuard
 from ._http_message import HttpConnection
 from ._http_message import HttpRequest
 from ._http_message import HttpResponse
@@ -29,10 +37,16 @@
 BadRequestHandler = Callable[[int, str], HttpResponse]
 
 _READ_BYTES = 65536
+# Requests that arrive together are parsed and answered a few at a time, since
+# a parsed one takes many times its bytes.
+_PARSE_BYTES = 4096
 # Time in which a request is read that arrived as its connection was closed.
 _ARRIVED_S = 0.01
 
 
+_OVERLOADED = 'too many large messages; the request was not run'
+
+
 class _WatchedStream:
     """Reads a connection also while a request is being answered.
 
@@ -58,6 +72,8 @@
 
     async def watch(self) -> None:
         """Return once the client has closed, or has sent something."""
+        if self._early:
+            return
         try:
             self._early = await self._stream.receive(_READ_BYTES)
         except DISCONNECTED:
@@ -77,11 +93,27 @@
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
 
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of an incomplete request; 0 between requests."""
+        if not self._is_incomplete:
+            return 0
+        return 1 + self._header_bytes + self._body_bytes
+
+    @property
+    def expected_bytes(self) -> int:
+        """Size that an incomplete request may reach."""
+        length = self._headers.get('content-length', '')
+        if length.isascii() and length.isdigit() and len(length) < 10:
+            return self._header_bytes + min(int(length), MAX_BODY_BYTES)
+        return MAX_HEADER_BYTES + MAX_BODY_BYTES
+
     def feed(self, data: bytes) -> None:
         self._parser.feed_data(data)
 
     def on_message_begin(self) -> None:
         self._reset()
+        self._is_incomplete = True
 
     def on_url(self, url: bytes) -> None:
         self._url += url
@@ -98,6 +130,7 @@
         self._body_chunks.append(body)
 
     def on_message_complete(self) -> None:
+        self._is_incomplete = False
         path, _, query = self._url.decode('latin-1').partition('?')
         self.requests.append(
             HttpRequest(
@@ -117,6 +150,7 @@
         self._body_chunks: list[bytes] = []
         self._header_bytes = 0
         self._body_bytes = 0
+        self._is_incomplete = False
 
     def _add_header_size(self, size_bytes: int) -> None:
         self._header_bytes += size_bytes
@@ -140,6 +174,10 @@
     watches_clients : bool
         Whether ``HttpConnection.is_open`` becomes False as soon as the client
         closes its side, also while a request is being answered.
+    resources : ProcessResources or None
+        Limits of the process; None for no limits.
+    role : Role
+        Kind of the clients, which selects the limit on connections.
     """
 
     def __init__(
@@ -149,7 +187,13 @@
         bad_request: BadRequestHandler,
         *,
         watches_clients: bool = False,
+        resources: ProcessResources | None = None,
+        role: Role = Role.OPERATORS,
     ) -> None:
+        resources = resources or ProcessResources.unlimited(SystemClock())
+        self._memory = resources.memory
+        self._limit = resources.limits[role]
+        self._answer_sizes = AnswerSizes()
         self._network = network
         self._handler = handler
         self._bad_request = bad_request
@@ -196,51 +240,71 @@
             task_status,
             self._waits,
             self._connections,
+            self._limit,
         )
 
     async def _serve_connection(self, socket: anyio.abc.SocketStream) -> None:
+        with admitted(self._limit, socket) as entry:
+            if entry is None:
+                await anyio.aclose_forcefully(socket)
+                return
+            guard = HttpGuard(
+                self._memory, entry, entry.group, self._answer_sizes
+            )
+            try:
+                await self._serve_admitted(socket, guard)
+            finally:
+                guard.close()
+
+    async def _serve_admitted(
+        self, socket: anyio.abc.SocketStream, guard: HttpGuard
+    ) -> None:
         stream = self._network.wrap_accepted(socket)
         remote = socket.extra(anyio.abc.SocketAttribute.remote_address)
         connection = HttpConnection(str(remote[0]))
         try:
             async with stream:
-                await self._serve_requests(stream, connection)
+                await self._serve_requests(stream, connection, guard)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
         finally:
             connection.is_open = False
 
     async def _serve_requests(
-        self, stream: anyio.abc.ByteStream, connection: HttpConnection
+        self,
+        stream: anyio.abc.ByteStream,
+        connection: HttpConnection,
+        guard: HttpGuard,
     ) -> None:
         parser = _RequestParser(connection)
         watched = _WatchedStream(stream, connection)
         while True:
-            try:
-                received = await self._receive(watched)
-                if received is None:
-                    return
-                parser.feed(received)
-            except anyio.EndOfStream:
+            if not await guard.admit_request(
+                parser.pending_bytes, parser.expected_bytes
+            ):
+                await self._send_error(stream, 503, _OVERLOADED)
                 return
-            except _RequestTooLargeError:
-                await self._send_error(
-                    stream, 413, 'the request exceeds the size limit'
+            try:
+                received = await guard.receive(
+                    lambda: self._receive(watched), parser.pending_bytes
                 )
+            except anyio.EndOfStream:
                 return
-            except httptools.HttpParserError as error:
-                if isinstance(error.__context__, _RequestTooLargeError):
-                    await self._send_error(
-                        stream, 413, 'the request exceeds the size limit'
-                    )
-                else:
-                    await self._send_error(stream, 400, 'invalid HTTP request')
-                return
-            if not await self._answer_parsed_requests(stream, watched, parser):
+            for start in range(0, len(received), _PARSE_BYTES):
+                piece = received[start : start + _PARSE_BYTES]
+                refusal = _feed(parser, piece)
+                if refusal is not None:
+                    await self._send_error(stream, *refusal)
+                    return
+                if not await self._answer_parsed_requests(
+                    stream, watched, parser, guard
+                ):
+                    return
+            if not received:
                 return
 
-    async def _receive(self, watched: _WatchedStream) -> bytes | None:
-        """Return the next bytes, None if the stop closes the connection.
+    async def _receive(self, watched: _WatchedStream) -> bytes:
+        """Return the next bytes, none if the stop closes the connection.
 
         What has arrived when the stop closes idle connections is answered.
         """
@@ -249,18 +313,22 @@
                 return await watched.receive()
         with anyio.move_on_after(_ARRIVED_S):
             return await watched.receive()
-        return None
+        return b''
 
     async def _answer_parsed_requests(
         self,
         stream: anyio.abc.ByteStream,
         watched: _WatchedStream,
         parser: _RequestParser,
+        guard: HttpGuard,
     ) -> bool:
         while parser.requests:
             request = parser.requests.popleft()
             self._requests_in_progress += 1
             try:
+                if not await guard.begin_answer(request.path):
+                    await self._send_error(stream, 503, _OVERLOADED)
+                    return False
                 if self._watches_clients and not parser.requests:
                     response = await self._answer_watched(request, watched)
                 else:
@@ -270,9 +338,14 @@
                     or not request.keep_alive
                 ):
                     response.close = True
-                await stream.send(response.encode())
+                data = response.encode()
+                if not await guard.admit_answer(request.path, len(data)):
+                    log_event('http_answer_dropped', size_bytes=len(data))
+                    return False
+                await send_in_time(stream, data, self._memory.settings)
             finally:
                 self._requests_in_progress -= 1
+                guard.end_answer()
             if response.close:
                 return False
         return True
@@ -299,4 +372,18 @@
     ) -> None:
         response = self._bad_request(status, message)
         response.close = True
-        await stream.send(response.encode())
+        await send_in_time(stream, response.encode(), self._memory.settings)
+
+
+def _feed(parser: _RequestParser, data: bytes) -> tuple[int, str] | None:
+    """Parse data; return the status and message of a refusal, if any."""
+    too_large = (413, 'the request exceeds the size limit')
+    try:
+        parser.feed(data)
+    except _RequestTooLargeError:
+        return too_large
+    except httptools.HttpParserError as error:
+        if isinstance(error.__context__, _RequestTooLargeError):
+            return too_large
+        return 400, 'invalid HTTP request'
+    return None
--- a/libs/net/siskinsail_net/_network.py
+++ b/libs/net/siskinsail_net/_network.py
@@ -5,11 +5,14 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
+import socket
 from typing import Protocol
 
 import anyio
 import anyio.abc
 
+from siskinsail_budget import ConnectionLimit
 from siskinsail_lifecycle import PhaseWaits
 from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
@@ -19,6 +22,10 @@
 
 from ._accept import accept_connections
 from ._accept import ConnectionCount
+from ._accept import stop_reading_ahead
+
+# Connections that a full server accepts and admits or closes at a time.
+_NEWCOMERS = 8
 
 DISCONNECTED = (
     anyio.EndOfStream,
@@ -65,10 +72,16 @@
     ----------
     local_host : str
         IP address that outgoing connections are bound to; empty for any.
+    receive_buffer_bytes : int
+        Receive buffer of a connection in the kernel; 0 leaves its size to the
+        kernel. The event loop reads a full buffer at once.
     """
 
-    def __init__(self, local_host: str = '') -> None:
+    def __init__(
+        self, local_host: str = '', receive_buffer_bytes: int = 0
+    ) -> None:
         self._local_host = local_host
+        self._receive_buffer_bytes = receive_buffer_bytes
 
     async def connect(
         self, remote: Address, timeout_s: float
@@ -76,11 +89,14 @@
         """Connect to ``remote`` within ``timeout_s`` seconds."""
         try:
             with anyio.fail_after(timeout_s):
-                return await anyio.connect_tcp(
+                stream = await anyio.connect_tcp(
                     remote.host,
                     remote.port,
                     local_host=self._local_host or None,
                 )
+                self._limit_receive_buffer(stream)
+                stop_reading_ahead(stream)
+                return stream
         except TimeoutError as error:
             raise CallTimeoutError(
                 f'timed out connecting to {remote}'
@@ -106,6 +122,8 @@
             )
         except OSError as error:
             raise ListenError(f'cannot listen on {local}: {error}') from error
+        # Accepted connections inherit the size of the buffer.
+        self._limit_receive_buffer(listener.listeners[0])
         return listener.listeners[0]
 
     def wrap_accepted(
@@ -114,6 +132,16 @@
         """Return the accepted connection unchanged."""
         return stream
 
+    def _limit_receive_buffer(
+        self, provider: anyio.TypedAttributeProvider
+    ) -> None:
+        if not self._receive_buffer_bytes:
+            return
+        raw_socket = provider.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes
+        )
+
 
 def bound_address(
     listener: anyio.abc.Listener[anyio.abc.SocketStream],
@@ -130,6 +158,7 @@
     task_status: anyio.abc.TaskStatus[Address],
     waits: PhaseWaits | None = None,
     count: ConnectionCount | None = None,
+    limit: ConnectionLimit | None = None,
 ) -> None:
     """Accept connections and serve each in its own task, until cancelled.
 
@@ -145,6 +174,9 @@
         be accepted at that moment.
     count : ConnectionCount or None
         Counts the connections that are open or may still be accepted.
+    limit : ConnectionLimit or None
+        Limit that ``handle`` applies to the connections. A few more are
+        accepted, each of which may take the place of another one.
     """
     waits = waits or PhaseWaits()
     count = count or ConnectionCount()
@@ -161,5 +193,10 @@
     async with anyio.create_task_group() as connections, listener:
         task_status.started(bound_address(listener))
         await accept_connections(
-            listener, handle_safely, connections, waits, count
+            listener,
+            handle_safely,
+            connections,
+            waits,
+            count,
+            math.inf if limit is None else limit.max_connections + _NEWCOMERS,
         )
--- a/libs/net/siskinsail_net/_peer_frame.py
+++ b/libs/net/siskinsail_net/_peer_frame.py
@@ -14,6 +14,7 @@
 import anyio.abc
 import capnp
 
+from siskinsail_budget import Reservation
 from siskinsail_types import LimitExceededError
 from siskinsail_types import ProtocolError
 from siskinsail_types import Secret
@@ -21,6 +22,8 @@
 
 PROTOCOL_VERSION = 3
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_HANDSHAKE_BYTES = 4096
+"""Size limit of the frames of a peer that has not proved itself."""
 NONCE_BYTES = 16
 _LENGTH_PREFIX = struct.Struct('>I')
 # A window of 4 KiB holds about twenty calls, whose ids and names repeat. With
@@ -134,9 +137,18 @@
     calls takes only a few bytes.
     """
 
-    def __init__(self, stream: anyio.abc.ByteStream) -> None:
+    def __init__(
+        self,
+        stream: anyio.abc.ByteStream,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
+    ) -> None:
         self._stream = stream
+        self._max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
+        # Compressed bytes that are not yet decompressed.
+        self._compressed = b''
+        self._is_chunk_full = False
+        self._reservation: Reservation | None = None
         # With fast_acquire, an uncontended lock does not yield to the event
         # loop.
         self._send_lock = anyio.Lock(fast_acquire=True)
@@ -160,6 +172,17 @@
         self._buffer.clear()
         self._buffer_received(data)
 
+    def accept_large_frames(self, reservation: Reservation) -> None:
+        """Accept frames up to ``MAX_FRAME_BYTES`` from now on.
+
+        Parameters
+        ----------
+        reservation : Reservation
+            Reserves the memory of a frame while it is received.
+        """
+        self._max_frame_bytes = MAX_FRAME_BYTES
+        self._reservation = reservation
+
     async def send(self, frame: Frame) -> None:
         """Send one complete frame."""
         data = encode_frame(frame)
@@ -194,29 +217,53 @@
         while True:
             envelope = self._pop_envelope()
             if envelope is not None:
+                if self._reservation is not None:
+                    self._reservation.close()
                 return decode_envelope(envelope)
-            self._buffer_received(await self._stream.receive())
+            await self._reserve()
+            if not self._decompress_next():
+                self._buffer_received(await self._stream.receive())
+
+    async def _reserve(self) -> None:
+        """Reserve the memory of the frame that is being received."""
+        if self._reservation is None or self._reservation.is_charged:
+            return
+        if not await self._reservation.resize(len(self._buffer)):
+            raise LimitExceededError('no memory is left for the frame')
+        if self._reservation.is_charged and not await self._reservation.resize(
+            MAX_FRAME_BYTES
+        ):
+            raise LimitExceededError('no memory is left for the frame')
 
     def _buffer_received(self, data: bytes) -> None:
         """Add received bytes to the buffer, decompressed if necessary."""
-        decompressor = self._decompressor
-        if decompressor is None:
+        if self._decompressor is None:
             self._buffer += data
             return
+        self._compressed += data
+        self._decompress_next()
+
+    def _decompress_next(self) -> bool:
+        """Decompress one chunk; return whether there was any."""
+        decompressor = self._decompressor
+        if decompressor is None:
+            return False
+        if not self._compressed and not self._is_chunk_full:
+            return False
         try:
-            while data:
-                self._buffer += decompressor.decompress(
-                    data, _MAX_INFLATED_CHUNK_BYTES
-                )
-                data = decompressor.unconsumed_tail
-                if len(self._buffer) > _LENGTH_PREFIX.size + MAX_FRAME_BYTES:
-                    self._check_length()
+            chunk = decompressor.decompress(
+                self._compressed, _MAX_INFLATED_CHUNK_BYTES
+            )
         except zlib.error as error:
             raise ProtocolError('invalid compressed data') from error
+        self._buffer += chunk
+        self._compressed = decompressor.unconsumed_tail
+        self._is_chunk_full = len(chunk) == _MAX_INFLATED_CHUNK_BYTES
+        return True
 
     def _check_length(self) -> None:
         (size,) = _LENGTH_PREFIX.unpack_from(self._buffer)
-        if size > MAX_FRAME_BYTES:
+        if size > self._max_frame_bytes:
             raise LimitExceededError(
                 f'frame of {size} bytes exceeds the size limit'
             )
--- a/libs/net/siskinsail_net/_peer_server.py
+++ b/libs/net/siskinsail_net/_peer_server.py
@@ -8,15 +8,22 @@
 import anyio
 import anyio.abc
 
+from siskinsail_budget import GroupName
+from siskinsail_budget import ProcessResources
+from siskinsail_budget import Reservation
+from siskinsail_budget import Role
 from siskinsail_telemetry import log_event
 from siskinsail_telemetry import record_unexpected_error
 from siskinsail_types import Address
+from siskinsail_types import LimitExceededError
 from siskinsail_types import PeerAuthenticationError
 from siskinsail_types import ProtocolError
 from siskinsail_types import Secret
 from siskinsail_types import SiskinsailError
+from siskinsail_types import SystemClock
 from siskinsail_types import VmId
 
+from ._admission import admitted
 from ._network import DISCONNECTED
 from ._network import Network
 from ._network import serve_connections
@@ -24,11 +31,14 @@
 from ._peer_frame import Frame
 from ._peer_frame import FrameKind
 from ._peer_frame import FrameStream
+from ._peer_frame import MAX_HANDSHAKE_BYTES
 from ._peer_frame import NONCE_BYTES
 from ._peer_frame import peer_proof
 
 MAX_CALLS_IN_FLIGHT = 256
 HANDSHAKE_TIMEOUT_S = 3.0
+# Copies of a call and its answer that exist while it runs.
+_CALL_COPIES = 4
 
 CallHandler = Callable[[VmId, bytes], Awaitable[bytes]]
 
@@ -45,9 +55,21 @@
         they know it.
     vm_id : VmId
         Name of this entry VM.
+    resources : ProcessResources or None
+        Limits of the process; None for no limits. The limit on connections
+        is for peers that have not proved that they know the secret.
     """
 
-    def __init__(self, network: Network, secret: Secret, vm_id: VmId) -> None:
+    def __init__(
+        self,
+        network: Network,
+        secret: Secret,
+        vm_id: VmId,
+        resources: ProcessResources | None = None,
+    ) -> None:
+        resources = resources or ProcessResources.unlimited(SystemClock())
+        self._memory = resources.memory
+        self._limit = resources.limits[Role.PEERS]
         self._network = network
         self._secret = secret
         self._vm_id = vm_id
@@ -79,10 +101,20 @@
         )
 
     async def _serve_peer(self, socket: anyio.abc.SocketStream) -> None:
-        frames = FrameStream(self._network.wrap_accepted(socket))
+        frames = FrameStream(
+            self._network.wrap_accepted(socket), MAX_HANDSHAKE_BYTES
+        )
+        caller: VmId | None = None
         try:
-            with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-                caller = await self._authenticate(frames)
+            with admitted(self._limit, socket) as entry:
+                if entry is not None:
+                    with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+                        caller = await self._authenticate(frames)
+            if caller is None:
+                return
+            frames.accept_large_frames(
+                self._memory.reserve_nothing(_group(caller))
+            )
             await self._serve_calls(frames, caller)
         except ProtocolError as error:
             await self._refuse_peer(frames, error)
@@ -126,8 +158,14 @@
                 while True:
                     request = await frames.receive()
                     await in_flight.acquire()
+                    reservation = await self._reserve(caller, request)
                     tasks.start_soon(
-                        self._handle_call, frames, caller, request, in_flight
+                        self._handle_call,
+                        frames,
+                        caller,
+                        request,
+                        in_flight,
+                        reservation,
                     )
             except (ProtocolError, *DISCONNECTED) as error:
                 # An error raised inside the task group would be wrapped in
@@ -139,12 +177,27 @@
         if receive_error is not None:
             raise receive_error
 
+    async def _reserve(self, caller: VmId, request: Frame) -> Reservation:
+        """Reserve memory for a call; no further one is read meanwhile.
+
+        Raises
+        ------
+        LimitExceededError
+            If there is none within the time limit.
+        """
+        reservation = self._memory.reserve_nothing(_group(caller))
+        size_bytes = len(request.payload) + len(request.method)
+        if not await reservation.resize(size_bytes * _CALL_COPIES):
+            raise LimitExceededError('no memory is left for the call')
+        return reservation
+
     async def _handle_call(
         self,
         frames: FrameStream,
         caller: VmId,
         request: Frame,
         in_flight: anyio.Semaphore,
+        reservation: Reservation,
     ) -> None:
         try:
             response = await self._run_handler(caller, request)
@@ -152,6 +205,7 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
         finally:
+            reservation.close()
             in_flight.release()
 
     async def _run_handler(self, caller: VmId, request: Frame) -> Frame:
@@ -189,5 +243,9 @@
             )
 
 
+def _group(caller: VmId) -> GroupName:
+    return GroupName(f'peer {caller}')
+
+
 def _failure_frame(request_id: int, error_type: str, message: str) -> Frame:
     return Frame(FrameKind.FAILURE, request_id, error_type, message.encode())
--- a/libs/statements/siskinsail_statements/_connection.py
+++ b/libs/statements/siskinsail_statements/_connection.py
@@ -1,6 +1,7 @@
 """Database connection that is shared by sessions of a client account."""
 
 from collections.abc import Mapping
+import sys
 
 from returns.result import Failure
 from returns.result import Result
@@ -8,6 +9,7 @@
 
 from siskinsail_backend import AccountAcquireFailure
 from siskinsail_backend import ConnectionFailedError
+from siskinsail_budget import Reservation
 from siskinsail_types import AccountId
 from siskinsail_types import Position
 from siskinsail_types import RequestId
@@ -51,11 +53,59 @@
 
 
 class SessionVariables:
-    """Session values and prepared statements of a caller."""
+    """Session values and prepared statements of a caller.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    reservation : Reservation or None
+        Memory of the values. Connections that keep the values refer to it,
+        so that it is released after the last one has discarded them.
+    """
+
+    def __init__(self, reservation: Reservation | None = None) -> None:
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedQuery] = {}
+        self.reservation = reservation
+        self._size_bytes = 0
+
+    def set_value(self, statement: SetValue) -> bool:
+        """Set a value; return False if no memory is left for it."""
+        old = self.values.get(statement.name, '')
+        if not self._resize(statement.name, old, statement.value):
+            return False
+        self.values[statement.name] = statement.value
+        return True
+
+    def prepare(self, statement: Prepare) -> bool:
+        """Prepare a statement; return False if no memory is left for it."""
+        old = self.prepared.get(statement.name)
+        old_text = '' if old is None else old.text
+        if not self._resize(statement.name, old_text, statement.query.text):
+            return False
+        self.prepared[statement.name] = statement.query
+        return True
+
+    def deallocate(self, name: str) -> bool:
+        """Remove a prepared statement; return False if there is none."""
+        query = self.prepared.pop(name, None)
+        if query is None:
+            return False
+        self._resize(name, query.text, '')
+        return True
+
+    def _resize(self, name: str, old: str, new: str) -> bool:
+        size_bytes = self._size_bytes - _size(name, old) + _size(name, new)
+        if self.reservation is not None and not self.reservation.try_resize(
+            size_bytes
+        ):
+            return False
+        self._size_bytes = size_bytes
+        return True
+
+
+def _size(name: str, text: str) -> int:
+    """Return the memory of a value; a removed one has none."""
+    return sys.getsizeof(name) + sys.getsizeof(text) if text else 0
 
 
 class SharedConnection:
@@ -79,6 +129,9 @@
         self._account = account
         self._values: dict[str, str] = {}
         self._prepared: dict[PreparedQuery, str] = {}
+        # Memory of the values and prepared statements of other sessions that
+        # this connection keeps.
+        self._reservations: set[Reservation] = set()
         self._is_in_transaction = False
 
     @property
@@ -200,6 +253,10 @@
         """Return a command, preceded by the commands that it depends on."""
         statement = command.statement
         commands = self._sync_values(variables.values)
+        if variables.reservation is not None and (
+            variables.reservation.is_charged
+        ):
+            self._reservations.add(variables.reservation)
         if isinstance(statement, Execute):
             query = variables.prepared[statement.name]
             name = self._prepared.get(query)
@@ -222,6 +279,7 @@
             commands.append(Command(Discard()))
             self._values.clear()
             self._prepared.clear()
+            self._reservations.clear()
         for name, value in values.items():
             if self._values.get(name) != value:
                 commands.append(Command(SetValue(name, value)))
--- a/libs/statements/siskinsail_statements/_context.py
+++ b/libs/statements/siskinsail_statements/_context.py
@@ -3,6 +3,7 @@
 import anyio
 import anyio.abc
 
+from siskinsail_budget import MemoryBudget
 from siskinsail_telemetry import log_event
 from siskinsail_telemetry import Sampler
 from siskinsail_types import Clock
@@ -45,6 +46,8 @@
         Source of time.
     metrics : StatementMetrics
         Metrics of sessions and statements.
+    memory : MemoryBudget
+        Memory budget of the process.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         sampler: PositionSampler,
         clock: Clock,
         metrics: StatementMetrics,
+        memory: MemoryBudget,
     ) -> None:
         self._settings = settings
         self._sampler = sampler
@@ -64,6 +68,7 @@
         self.runner = runner
         self.clock = clock
         self.metrics = metrics
+        self.memory = memory
 
     async def run(self) -> None:
         """Roll back abandoned transactions until cancelled."""
--- a/libs/statements/siskinsail_statements/_outcome.py
+++ b/libs/statements/siskinsail_statements/_outcome.py
@@ -4,6 +4,7 @@
 from enum import unique
 from typing import NamedTuple
 
+from siskinsail_budget import Reservation
 from siskinsail_types import Position
 from siskinsail_types import SiskinsailError
 
@@ -105,6 +106,9 @@
         Log position that the database had applied.
     position_age_s : float
         For how long before the command the position was known, in seconds.
+    reservation : Reservation or None
+        Memory of the rows, which is released with the last reference; None
+        if they are small.
     """
 
     rows: tuple[str, ...] = ()
@@ -113,6 +117,7 @@
     state: TransactionState = TransactionState.IDLE
     position: Position | None = None
     position_age_s: float = 0.0
+    reservation: Reservation | None = None
 
 
 class SessionReply(NamedTuple):
@@ -120,7 +125,7 @@
 
     Parameters
     ----------
-    rows, receipt, error, position
+    rows, receipt, error, position, reservation
         See ``Reply``.
     state : TransactionState
         Transaction state of the caller's session.
@@ -131,3 +136,4 @@
     receipt: str = ''
     error: StatementError | None = None
     position: Position | None = None
+    reservation: Reservation | None = None
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -15,6 +15,8 @@
 from siskinsail_backend import DatabaseError
 from siskinsail_backend import PoolTable
 from siskinsail_backend import QueueLimits
+from siskinsail_budget import BudgetSettings
+from siskinsail_budget import MemoryBudget
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import ViewSource
 from siskinsail_limits import RateLimiter
@@ -101,6 +103,8 @@
     forwarder : Forwarder or None
         Calls the daemons that hold connections; None if this daemon runs all
         statements itself.
+    memory : MemoryBudget or None
+        Memory budget of the process; None for no limit.
 
     Examples
     --------
@@ -119,6 +123,7 @@
         clock: Clock,
         registry: CollectorRegistry,
         forwarder: Forwarder | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         metrics = StatementMetrics(registry)
         self._metrics = metrics
@@ -140,7 +145,13 @@
         )
         self._admission = SessionAdmission(settings, views, limiter, clock)
         self._context = SessionContext(
-            settings, self._admission, runner, self._sampler, clock, metrics
+            settings,
+            self._admission,
+            runner,
+            self._sampler,
+            clock,
+            metrics,
+            memory or MemoryBudget(BudgetSettings()),
         )
 
     @property
@@ -169,7 +180,8 @@
         if isinstance(checked, Failure):
             return Failure(checked.failure())
         self._metrics.sessions.inc()
-        return Success(CallerSession(self._context, database, key))
+        account = checked.unwrap().caller.account
+        return Success(CallerSession(self._context, database, key, account))
 
     def close(self, session: CallerSession) -> None:
         """Close a session; an open transaction is rolled back."""
--- a/libs/statements/siskinsail_statements/_session.py
+++ b/libs/statements/siskinsail_statements/_session.py
@@ -6,6 +6,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_budget import GroupName
+from siskinsail_types import AccountId
 from siskinsail_types import KeyDigest
 from siskinsail_types import Position
 from siskinsail_types import RequestId
@@ -61,15 +63,24 @@
         Route that the caller selected.
     key : KeyDigest
         Digest of the caller's API key.
+    account : AccountId
+        Client account of the key when the session was opened.
     """
 
     def __init__(
-        self, context: SessionContext, database: RouteId, key: KeyDigest
+        self,
+        context: SessionContext,
+        database: RouteId,
+        key: KeyDigest,
+        account: AccountId,
     ) -> None:
+        self._account = account
         self._context = context
         self._database = database
         self._key = key
-        self._session_variables = SessionVariables()
+        self._session_variables = SessionVariables(
+            context.memory.reserve_nothing(GroupName(f'account {account}'))
+        )
         self._state = TransactionState.IDLE
         # The current transaction, its authorization, and its connection if it
         # is open on a database.
@@ -80,6 +91,11 @@
         self._has_written = False
         self._positions: dict[ServiceId, Position] = {}
 
+    @property
+    def account(self) -> AccountId:
+        """Client account for which the session was opened."""
+        return self._account
+
     @property
     def state(self) -> TransactionState:
         """Transaction state between two statements."""
@@ -180,7 +196,8 @@
             return self._error_reply(
                 _malformed_error('too many session values')
             )
-        values[statement.name] = statement.value
+        if not self._session_variables.set_value(statement):
+            return self._error_reply(_no_memory_error())
         return self._empty_reply()
 
     @_execute.register
@@ -195,14 +212,15 @@
             return self._error_reply(
                 _malformed_error('too many prepared statements')
             )
-        prepared[statement.name] = statement.query
+        if not self._session_variables.prepare(statement):
+            return self._error_reply(_no_memory_error())
         return self._empty_reply()
 
     @_execute.register
     async def _(
         self, statement: Deallocate, request_id: RequestId, received_s: float
     ) -> SessionReply:
-        if self._session_variables.prepared.pop(statement.name, None) is None:
+        if not self._session_variables.deallocate(statement.name):
             return self._error_reply(_unknown_prepared_error())
         return self._empty_reply()
 
@@ -513,7 +531,11 @@
             return self._error_reply(result.failure())
         reply = result.unwrap()
         return SessionReply(
-            self._state, reply.rows, reply.receipt, position=reply.position
+            self._state,
+            reply.rows,
+            reply.receipt,
+            position=reply.position,
+            reservation=reply.reservation,
         )
 
     def _empty_reply(self) -> SessionReply:
@@ -538,6 +560,14 @@
     return StatementError(StatementErrorCode.ABORTED, message, _RETRY_AFTER_S)
 
 
+def _no_memory_error() -> StatementError:
+    return StatementError(
+        StatementErrorCode.BUSY,
+        'no memory is left for the values of the session; it was not run',
+        _RETRY_AFTER_S,
+    )
+
+
 def _unknown_prepared_error() -> StatementError:
     return StatementError(
         StatementErrorCode.UNKNOWN_PREPARED,
--- a/libs/types/siskinsail_types/__init__.py
+++ b/libs/types/siskinsail_types/__init__.py
@@ -10,6 +10,7 @@
 from ._errors import flatten_errors as flatten_errors
 from ._errors import LimitExceededError as LimitExceededError
 from ._errors import ListenError as ListenError
+from ._errors import OverloadedError as OverloadedError
 from ._errors import PeerAuthenticationError as PeerAuthenticationError
 from ._errors import ProtocolError as ProtocolError
 from ._errors import RequestError as RequestError
--- a/libs/types/siskinsail_types/_errors.py
+++ b/libs/types/siskinsail_types/_errors.py
@@ -61,6 +61,10 @@
     """A message, header block or body exceeds its size limit."""
 
 
+class OverloadedError(SiskinsailError):
+    """A message was not run, since no memory is left for it."""
+
+
 class VersionMismatchError(ProtocolError):
     """A peer uses another version of the protocol."""
 
