Bound the buffers and connections of siskinsaild

Requests and answers are no longer referred to while a connection waits for the next one; 57 lines of 1 MiB were kept that way. A connection that is reset before it is wrapped raised ValueError and ended the process.

--- a/libs/daemon/siskinsail_daemon/_daemon.py
+++ b/libs/daemon/siskinsail_daemon/_daemon.py
@@ -7,6 +7,9 @@
 import prometheus_client
 
 from siskinsail_backend import DatabasePools
+from siskinsail_budget import BudgetMetrics
+from siskinsail_budget import ProcessResources
+from siskinsail_budget import Role
 from siskinsail_control import ControlAgent
 from siskinsail_control import ControlMetrics
 from siskinsail_control import DaemonIdentity
@@ -42,7 +45,10 @@
     """Return the TCP network, with fault injection if it is configured."""
     host = settings.peer_address.host
     if settings.fault_rules is None:
-        return TcpNetwork(host)
+        budget = settings.budget
+        return TcpNetwork(
+            host, budget.receive_buffer_bytes if budget.is_limited else 0
+        )
     return FaultNetwork(host, FaultTable(settings.fault_rules))
 
 
@@ -83,8 +89,10 @@
         prometheus_client.ProcessCollector(registry=registry)
         network = make_network(settings)
         metrics = ControlMetrics(registry)
+        resources = ProcessResources(settings.budget, clock)
+        BudgetMetrics(registry, resources)
         self._peer_server = PeerServer(
-            network, settings.fleet_secret, settings.vm_id
+            network, settings.fleet_secret, settings.vm_id, resources
         )
         self._control_role: ControlRole | None = None
         if settings.data_folder is not None:
@@ -120,10 +128,17 @@
         self._agent.set_connection_usage(self._pools)
         self._agent.set_readiness(lambda: self._operator_api.is_ready)
         self._client_server = HttpServer(
-            network, self._proxy.handle, bad_request_response
+            network,
+            self._proxy.handle,
+            bad_request_response,
+            resources=resources,
+            role=Role.CALLERS,
         )
         self._operator_server = HttpServer(
-            network, self._operator_api.handle, bad_request_response
+            network,
+            self._operator_api.handle,
+            bad_request_response,
+            resources=resources,
         )
         self._stop = GracefulStop(
             _stop_settings(settings),
--- a/libs/daemon/siskinsail_daemon/_settings.py
+++ b/libs/daemon/siskinsail_daemon/_settings.py
@@ -8,6 +8,7 @@
 
 from siskinsail_backend import BackendSettings
 from siskinsail_backend import QueuePolicy
+from siskinsail_budget import BudgetSettings
 from siskinsail_consensus import ConsensusSettings
 from siskinsail_consensus import MemberAddress
 from siskinsail_control import ControlSettings
@@ -161,6 +162,20 @@
         description='maximum wait for a token while no control leader '
         'responds',
     )
+    memory_mb: float = Field(
+        0.0,
+        ge=0,
+        le=1_000_000,
+        description='memory of the machine in MiB, a fifth of which limits '
+        'the buffers of clients; 0 for no limit',
+    )
+    max_fds: int = Field(
+        0,
+        ge=0,
+        le=10_000_000,
+        description='descriptors of the process, which limit the accepted '
+        'connections; 0 for no limit',
+    )
     uses_uvloop: bool = Field(True, description='use the uvloop event loop')
 
     @pydantic.model_validator(mode='after')
@@ -177,6 +192,11 @@
             )
         return self
 
+    @property
+    def budget(self) -> BudgetSettings:
+        """Limits of buffers and connections."""
+        return BudgetSettings(self.memory_mb, self.max_fds)
+
     @property
     def vm_id(self) -> VmId:
         """Name of this entry VM."""
--- a/libs/net/siskinsail_net/_accept.py
+++ b/libs/net/siskinsail_net/_accept.py
@@ -88,12 +88,15 @@
 
     async def serve(accepted: socket.socket) -> None:
         try:
-            stream = await anyio.abc.SocketStream.from_socket(accepted)
+            try:
+                stream = await anyio.abc.SocketStream.from_socket(accepted)
+            except (OSError, ValueError):
+                # The peer reset the connection before it was wrapped; anyio
+                # raises ValueError for a socket that is not connected.
+                accepted.close()
+                return
             stop_reading_ahead(stream)
             await handle(stream)
-        except OSError:
-            # The peer reset the connection before it was wrapped.
-            accepted.close()
         finally:
             count.remove()
 
--- a/libs/net/siskinsail_net/_http_guard.py
+++ b/libs/net/siskinsail_net/_http_guard.py
@@ -12,25 +12,38 @@
 from siskinsail_budget import MESSAGE_COPIES
 from siskinsail_telemetry import log_event
 
+from ._http_message import MAX_BODY_BYTES
+
+# An answer is expected to be as long as the longest recent one.
 _DECAY = 0.9
-_MAX_PATHS = 100
+_MAX_KINDS = 100
+_PATH_SEGMENTS = 3
+# The body of an answer and its encoded form.
+_ANSWER_COPIES = 2
 
 
 class AnswerSizes:
-    """Expected size of the answer to a request, by path."""
+    """Expected size of the answer to a request, by the start of its path."""
 
     def __init__(self) -> None:
         self._sizes: dict[str, int] = {}
 
     def expected_bytes(self, path: str) -> int:
-        """Return the expected size, 0 if it is not known."""
-        return self._sizes.get(path, 0)
+        """Return the expected size; an unknown one may be the maximum."""
+        return self._sizes.get(_kind(path), MAX_BODY_BYTES)
 
     def record(self, path: str, size_bytes: int) -> None:
         """Record the size of an answer."""
-        expected = max(size_bytes, int(self.expected_bytes(path) * _DECAY))
-        if path in self._sizes or len(self._sizes) < _MAX_PATHS:
-            self._sizes[path] = expected
+        kind = _kind(path)
+        expected = self._sizes.get(kind)
+        if expected is not None:
+            size_bytes = max(size_bytes, int(expected * _DECAY))
+        if expected is not None or len(self._sizes) < _MAX_KINDS:
+            self._sizes[kind] = size_bytes
+
+
+def _kind(path: str) -> str:
+    return '/'.join(path.split('/')[:_PATH_SEGMENTS])
 
 
 class HttpGuard:
@@ -104,12 +117,13 @@
     async def begin_answer(self, path: str) -> bool:
         """Wait until an answer of the expected size has room."""
         self._entry.enter(ConnectionState.BUSY)
-        return await self._answer.resize(self._sizes.expected_bytes(path))
+        expected_bytes = self._sizes.expected_bytes(path)
+        return await self._answer.resize(expected_bytes * _ANSWER_COPIES)
 
     async def admit_answer(self, path: str, size_bytes: int) -> bool:
         """Reserve memory for an answer whose size is known."""
         self._sizes.record(path, size_bytes)
-        return await self._answer.resize(size_bytes)
+        return await self._answer.resize(size_bytes * _ANSWER_COPIES)
 
     def end_answer(self) -> None:
         """Release the memory of the request and its answer."""
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -302,6 +302,8 @@
                     return
             if not received:
                 return
+            # Not kept while more is awaited.
+            del received, piece
 
     async def _receive(self, watched: _WatchedStream) -> bytes:
         """Return the next bytes, none if the stop closes the connection.
@@ -323,33 +325,45 @@
         guard: HttpGuard,
     ) -> bool:
         while parser.requests:
-            request = parser.requests.popleft()
-            self._requests_in_progress += 1
-            try:
-                if not await guard.begin_answer(request.path):
-                    await self._send_error(stream, 503, _OVERLOADED)
-                    return False
-                if self._watches_clients and not parser.requests:
-                    response = await self._answer_watched(request, watched)
-                else:
-                    response = await self._answer(request)
-                if (
-                    self._waits.phase >= StopPhase.DRAINING
-                    or not request.keep_alive
-                ):
-                    response.close = True
-                data = response.encode()
-                if not await guard.admit_answer(request.path, len(data)):
-                    log_event('http_answer_dropped', size_bytes=len(data))
-                    return False
-                await send_in_time(stream, data, self._memory.settings)
-            finally:
-                self._requests_in_progress -= 1
-                guard.end_answer()
-            if response.close:
+            # The request and its answer are local to the call, so that they
+            # are not kept while the next answer waits for memory.
+            if not await self._answer_next(stream, watched, parser, guard):
                 return False
         return True
 
+    async def _answer_next(
+        self,
+        stream: anyio.abc.ByteStream,
+        watched: _WatchedStream,
+        parser: _RequestParser,
+        guard: HttpGuard,
+    ) -> bool:
+        """Answer one request; return whether the connection goes on."""
+        request = parser.requests.popleft()
+        self._requests_in_progress += 1
+        try:
+            if not await guard.begin_answer(request.path):
+                await self._send_error(stream, 503, _OVERLOADED)
+                return False
+            if self._watches_clients and not parser.requests:
+                response = await self._answer_watched(request, watched)
+            else:
+                response = await self._answer(request)
+            if (
+                self._waits.phase >= StopPhase.DRAINING
+                or not request.keep_alive
+            ):
+                response.close = True
+            data = response.encode()
+            if not await guard.admit_answer(request.path, len(data)):
+                log_event('http_answer_dropped', size_bytes=len(data))
+                return False
+            await send_in_time(stream, data, self._memory.settings)
+        finally:
+            self._requests_in_progress -= 1
+            guard.end_answer()
+        return not response.close
+
     async def _answer_watched(
         self, request: HttpRequest, watched: _WatchedStream
     ) -> HttpResponse:
--- a/libs/net/siskinsail_net/_peer_server.py
+++ b/libs/net/siskinsail_net/_peer_server.py
@@ -167,6 +167,8 @@
                         in_flight,
                         reservation,
                     )
+                    # Not kept while the next call is awaited.
+                    del request, reservation
             except (ProtocolError, *DISCONNECTED) as error:
                 # An error raised inside the task group would be wrapped in
                 # an exception group, which the except clauses of
--- a/libs/net/tests/test_accept.py
+++ b/libs/net/tests/test_accept.py
@@ -8,6 +8,7 @@
 import errno
 import itertools
 import socket
+import struct
 import time
 
 import anyio
@@ -115,3 +116,20 @@
         later - earlier for earlier, later in itertools.pairwise(failed_at_s)
     ]
     assert min(pauses_s) >= PAUSE_S - TIMER_RESOLUTION_S
+
+
+async def test_a_connection_that_is_reset_at_once_does_not_end_the_server():
+    # Fails if a connection that is no longer connected when it is wrapped
+    # ends the task group of all connections.
+    server = HttpServer(TcpNetwork(), _answer, _refuse)
+    async with anyio.create_task_group() as tasks:
+        address = await tasks.start(server.serve, LOCAL)
+        for _ in range(20):
+            client = _connect_waiting(address)
+            client.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            client.close()
+        client = _connect_waiting(address)
+        assert b' 200 ' in await _receive(client)
+        tasks.cancel_scope.cancel()
--- a/libs/proxy/siskinsail_proxy/_responses.py
+++ b/libs/proxy/siskinsail_proxy/_responses.py
@@ -9,7 +9,10 @@
 
 from ._execution_result import ExecutionResult
 
-_CODES_BY_STATUS = {413: ErrorCode.TOO_LARGE}
+_CODES_BY_STATUS = {
+    413: ErrorCode.TOO_LARGE,
+    503: ErrorCode.OVERLOADED,
+}
 
 
 class _StatementsBody(msgspec.Struct):
