Send small answers without a timer

The timer of each answer took about as long as sending it. A connection whose client does not read small answers is closed at the limit on connections.

--- a/libs/budget/siskinsail_budget/_connections.py
+++ b/libs/budget/siskinsail_budget/_connections.py
@@ -21,6 +21,10 @@
     BUSY = 'busy'
 
 
+# No statement runs for so long, so its client does not read the answer.
+_STALLED_S = 60.0
+
+
 class ConnectionEntry:
     """One accepted connection.
 
@@ -104,9 +108,10 @@
         """Count a new connection; return None if it must be closed.
 
         At the limit another connection is closed for it: the oldest one that
-        was never used, or else the one of the largest group that is idle for
-        the longest time. A group with more than half of the connections may
-        also lose one that is idle in a transaction, to another group.
+        was never used or whose client does not read, or else the one of the
+        largest group that is idle for the longest time. A group with more
+        than half of the connections may also lose one that is idle in a
+        transaction, to another group.
         """
         if len(self._entries) >= self._max_connections:
             victim = self.find_victim(group)
@@ -126,9 +131,18 @@
 
     def find_victim(self, group: GroupName) -> ConnectionEntry | None:
         """Return the connection that a new one of a group may replace."""
-        starting = self._in_state(ConnectionState.STARTING)
-        if starting:
-            return min(starting, key=lambda entry: entry.since_s)
+        stalled_since_s = self.now_s() - _STALLED_S
+        unused = [
+            entry
+            for entry in self._entries
+            if entry.state is ConnectionState.STARTING
+            or (
+                entry.since_s < stalled_since_s
+                and entry.state is ConnectionState.BUSY
+            )
+        ]
+        if unused:
+            return min(unused, key=lambda entry: entry.since_s)
         sizes = Counter(entry.group for entry in self._entries)
         candidates = self._in_state(ConnectionState.IDLE) or [
             entry
--- a/libs/budget/tests/test_connections.py
+++ b/libs/budget/tests/test_connections.py
@@ -50,6 +50,18 @@
     assert limit.open_connections == len(entries)
 
 
+def test_a_client_that_does_not_read_makes_room():
+    clock = ManualClock(100.0)
+    limit = ConnectionLimit(1, clock)
+    was_closed = []
+    limit.admit(GroupName('a'), lambda: was_closed.append('a')).enter(BUSY)
+    clock.advance(59.0)
+    assert limit.admit(GroupName('b'), lambda: None) is None
+    clock.advance(2.0)
+    assert limit.admit(GroupName('b'), lambda: None) is not None
+    assert was_closed == ['a']
+
+
 def test_room_returns_when_a_connection_is_removed():
     limit = ConnectionLimit(1, ManualClock())
     entry = limit.admit(GroupName('a'), lambda: None)
--- a/libs/net/siskinsail_net/_bounded_stream.py
+++ b/libs/net/siskinsail_net/_bounded_stream.py
@@ -14,12 +14,15 @@
 ) -> None:
     """Send data; the client must read each piece of it in time.
 
+    Small data have no time limit, since a timer costs as much as sending
+    them. ``ConnectionLimit`` closes a connection that waits for too long.
+
     Raises
     ------
     BrokenResourceError
         If the client does not read.
     """
-    if not settings.is_limited:
+    if not settings.is_limited or len(data) <= settings.free_bytes:
         await stream.send(data)
         return
     for start in range(0, len(data), PIECE_BYTES):
