--- a/libs/budget/siskinsail_budget/_memory.py
+++ b/libs/budget/siskinsail_budget/_memory.py
@@ -86,19 +86,18 @@
 
     def _grant_waiting(self) -> None:
         """Grant what fits, in order; groups at their limit are passed."""
-        still_waiting: deque[_Waiting] = deque()
-        is_full = False
-        for one in self._waiting:
-            if is_full or not self._fits_group(
-                one.reservation.group, one.growth
-            ):
-                still_waiting.append(one)
-            elif self._fits_total(one.growth):
-                one.grant()
-            else:
-                is_full = True
-                still_waiting.append(one)
-        self._waiting = still_waiting
+        for one in tuple(self._waiting):
+            # A reservation that is collected meanwhile also grants.
+            if one.granted.is_set():
+                continue
+            if not self._fits_group(one.reservation.group, one.growth):
+                continue
+            if not self._fits_total(one.growth):
+                break
+            one.grant()
+        self._waiting = deque(
+            one for one in self._waiting if not one.granted.is_set()
+        )
 
 
 class Reservation:
--- a/libs/net/siskinsail_net/_peer_server.py
+++ b/libs/net/siskinsail_net/_peer_server.py
@@ -38,7 +38,7 @@
 MAX_CALLS_IN_FLIGHT = 256
 HANDSHAKE_TIMEOUT_S = 3.0
 # Copies of a call and its answer that exist while it runs.
-_CALL_COPIES = 4
+_CALL_COPIES = 2
 
 CallHandler = Callable[[VmId, bytes], Awaitable[bytes]]
 
