--- a/libs/net/siskinsail_net/__init__.py
+++ b/libs/net/siskinsail_net/__init__.py
@@ -2,6 +2,7 @@
 
 from ._accept import ConnectionCount as ConnectionCount
 from ._admission import admitted as admitted
+from ._arrived import receive_arrived as receive_arrived
 from ._bounded_stream import PIECE_BYTES as PIECE_BYTES
 from ._bounded_stream import send_in_time as send_in_time
 from ._faults import FaultNetwork as FaultNetwork
--- a/libs/net/siskinsail_net/_accept.py
+++ b/libs/net/siskinsail_net/_accept.py
@@ -32,7 +32,7 @@
         self._open = 0
 
     @property
-    def open_connections(self) -> int:
+    def open(self) -> int:
         """Number of open connections."""
         return self._open
 
@@ -103,7 +103,7 @@
     def accept_waiting(max_open: float) -> bool:
         """Accept what waits; return whether resources were sufficient."""
         try:
-            while count.open_connections < max_open:
+            while count.open < max_open:
                 accepted = _accept(raw_socket)
                 if accepted is None:
                     break
@@ -123,7 +123,7 @@
                 await anyio.wait_readable(raw_socket)
                 if not accept_waiting(max_open):
                     await anyio.sleep(_ACCEPT_RETRY_S)
-                elif count.open_connections >= max_open:
+                elif count.open >= max_open:
                     await anyio.sleep(_FULL_PAUSE_S)
         accept_waiting(math.inf)
         # Closed without a further suspension, in which connections could
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 from urllib.parse import parse_qsl
 from urllib.parse import unquote
 
@@ -21,6 +22,7 @@
 
 from ._accept import ConnectionCount
 from ._admission import admitted
+from ._arrived import receive_arrived
 from ._bounded_stream import send_in_time
 from ._http_guard import AnswerSizes
 from ._http_guard import HttpGuard
@@ -40,8 +42,6 @@
 # Requests that arrive together are parsed and answered a few at a time, since
 # a parsed one takes many times its bytes.
 _PARSE_BYTES = 4096
-# Time in which a request is read that arrived as its connection was closed.
-_ARRIVED_S = 0.01
 
 
 _OVERLOADED = 'too many large messages; the request was not run'
@@ -202,6 +202,11 @@
         self._requests_in_progress = 0
         self._waits = PhaseWaits()
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return self._connections.open
+
     @property
     def has_work(self) -> bool:
         """Whether requests are being answered."""
@@ -278,6 +283,7 @@
     ) -> None:
         parser = _RequestParser(connection)
         watched = _WatchedStream(stream, connection)
+        is_first = True
         while True:
             if not await guard.admit_request(
                 parser.pending_bytes, parser.expected_bytes
@@ -286,8 +292,12 @@
                 return
             try:
                 received = await guard.receive(
-                    lambda: self._receive(watched), parser.pending_bytes
+                    functools.partial(
+                        self._receive, watched, is_first=is_first
+                    ),
+                    parser.pending_bytes,
                 )
+                is_first = False
             except anyio.EndOfStream:
                 return
             for start in range(0, len(received), _PARSE_BYTES):
@@ -305,7 +315,9 @@
             # Not kept while more is awaited.
             del received, piece
 
-    async def _receive(self, watched: _WatchedStream) -> bytes:
+    async def _receive(
+        self, watched: _WatchedStream, *, is_first: bool
+    ) -> bytes:
         """Return the next bytes, none if the stop closes the connection.
 
         What has arrived when the stop closes idle connections is answered.
@@ -313,9 +325,7 @@
         if self._waits.phase < StopPhase.CLOSING:
             with self._waits.until(StopPhase.CLOSING):
                 return await watched.receive()
-        with anyio.move_on_after(_ARRIVED_S):
-            return await watched.receive()
-        return b''
+        return await receive_arrived(watched.receive, is_first=is_first) or b''
 
     async def _answer_parsed_requests(
         self,
