Consider load figures with each answer of a replica

A daemon of a fleet of 66 has about one read of a class and service in one to three seconds, so that it rarely saw two fresh figures of a target in a row.

--- a/libs/locality/siskinsail_locality/_class_state.py
+++ b/libs/locality/siskinsail_locality/_class_state.py
@@ -5,7 +5,9 @@
 
 from siskinsail_types import DatabaseId
 
+from ._candidates import Distance
 from ._candidates import ReadCandidate
+from ._candidates import ReadClass
 from ._metrics import KnownLoads
 from ._pressure import Pressure
 from ._settings import LocalitySettings
@@ -47,11 +49,20 @@
     loads: KnownLoads
 
 
+class LastRead(NamedTuple):
+    """The last read of a class, with the databases that might serve it."""
+
+    read_class: ReadClass
+    candidates: tuple[ReadCandidate, ...]
+    nearest: Distance
+
+
 class ClassState:
     """Share of the reads of one class, and the targets of these reads."""
 
     def __init__(self, settings: LocalitySettings) -> None:
         self.share = SteppedShare(settings, settings.max_share)
+        self.last_read: LastRead | None = None
         self._hold_s = settings.hold_s
         self._measurements = Spread(settings.phase)
         self._targets: tuple[DatabaseId, ...] = ()
--- a/libs/locality/siskinsail_locality/_placement.py
+++ b/libs/locality/siskinsail_locality/_placement.py
@@ -17,6 +17,7 @@
 from ._candidates import ReadClass
 from ._class_state import Assessment
 from ._class_state import ClassState
+from ._class_state import LastRead
 from ._class_state import Target
 from ._metrics import KnownLoads
 from ._metrics import LocalityMetrics
@@ -87,9 +88,9 @@
         if nearest is Distance.OTHER_REGION:
             return default
         state = self._state(read_class)
-        assessment = self._assess(read_class, state, candidates, nearest)
+        state.last_read = LastRead(read_class, tuple(candidates), nearest)
         now_s = self._clock.now_s()
-        self._update(read_class, state, assessment, now_s)
+        assessment = self._update(state, state.last_read, now_s)
         if not state.is_usable(now_s):
             return default
         first = self._first(state, assessment)
@@ -99,6 +100,17 @@
         self._metrics.count_read(read_class, _DESTINATIONS[chosen])
         return [candidate.database for candidate in ordered]
 
+    def observe(self, service: ServiceId) -> None:
+        """Apply new figures to the shares of all classes of a service.
+
+        Figures arrive with answers. A daemon with few reads of a class would
+        otherwise rarely see them before they are too old.
+        """
+        now_s = self._clock.now_s()
+        for (name, _), state in self._states.items():
+            if name == service and state.last_read is not None:
+                self._update(state, state.last_read, now_s)
+
     def preview(
         self,
         service: ServiceId,
@@ -144,20 +156,19 @@
         return state
 
     def _update(
-        self,
-        read_class: ReadClass,
-        state: ClassState,
-        assessment: Assessment,
-        now_s: float,
-    ) -> None:
+        self, state: ClassState, read: LastRead, now_s: float
+    ) -> Assessment:
+        """Apply the current figures to the share of a class."""
+        assessment = self._assess(state, read)
         if state.update(assessment, now_s):
             self._metrics.record_share(
                 'leave',
-                read_class,
+                read.read_class,
                 state.share.value,
                 assessment.trend.value,
                 assessment.loads,
             )
+        return assessment
 
     def _first(
         self, state: ClassState, assessment: Assessment
@@ -169,14 +180,9 @@
             assessment.unmeasured, self._settings.measurement_share
         )
 
-    def _assess(
-        self,
-        read_class: ReadClass,
-        state: ClassState,
-        candidates: Sequence[ReadCandidate],
-        nearest: Distance,
-    ) -> Assessment:
+    def _assess(self, state: ClassState, read: LastRead) -> Assessment:
         """Return what the figures call for."""
+        read_class, candidates, nearest = read
         near = [one for one in candidates if self._distance(one) is nearest]
         loads = self._known_loads(near)
         home = self._best_near(read_class, near, loads)
--- a/libs/locality/tests/test_placement.py
+++ b/libs/locality/tests/test_placement.py
@@ -187,6 +187,24 @@
     assert set(one.run(5)) == {'east-db'}
 
 
+def test_answers_move_the_shares_of_rare_reads():
+    # A daemon with one read of a class in 10 s never sees two figures of a
+    # target that are fresh, as long as it looks at them with its reads only.
+    one = decider(east_db=OVERLOADED, west_db=None, north_db=None)
+    one.order()
+    one.loads.figures['west-db'] = ROOMY
+    for _ in range(3):
+        one.placement.observe('orders')
+        one.clock.advance(1.0)
+    assert one.share() > 0
+    other = decider(east_db=OVERLOADED, west_db=ROOMY)
+    other.order()
+    other.placement.observe('bookings')
+    other.clock.advance(2.0)
+    other.placement.observe('bookings')
+    assert other.share() == 0.0
+
+
 def test_a_share_is_held_between_the_thresholds():
     """Guards against shares that oscillate around one threshold."""
     one = decider(east_db=OVERLOADED, west_db=ROOMY, north_db=ROOMY)
--- a/libs/statements/siskinsail_statements/_read_locality.py
+++ b/libs/statements/siskinsail_statements/_read_locality.py
@@ -18,6 +18,7 @@
 from siskinsail_locality import ReadPlacement
 from siskinsail_types import Clock
 from siskinsail_types import Consistency
+from siskinsail_types import DatabaseId
 from siskinsail_types import DataCentreId
 from siskinsail_types import ServiceId
 
@@ -99,6 +100,12 @@
             for database in self._placement.order(read_class, candidates)
         ]
 
+    def record_answer(self, database: DatabaseId) -> None:
+        """Consider the figures that an answer of a replica has brought."""
+        server = self._view.databases.get(database) if self._view else None
+        if server is not None:
+            self._placement.observe(server.group)
+
     def preview(
         self,
         service: ServiceId,
--- a/libs/statements/siskinsail_statements/_replicas.py
+++ b/libs/statements/siskinsail_statements/_replicas.py
@@ -184,6 +184,8 @@
         )
         if position is not None:
             state.applied_position = position
+        if self._locality is not None:
+            self._locality.record_answer(database)
 
     def record_lag(self, database: DatabaseId, min_position: Position) -> None:
         """Record that a replica lacks a position."""
--- a/libs/statements/tests/test_read_locality.py
+++ b/libs/statements/tests/test_read_locality.py
@@ -182,6 +182,17 @@
         assert name not in selection.choose(consistency, position)
 
 
+def test_answers_of_replicas_move_the_shares():
+    """Guards against shares that see new figures with the next read only."""
+    loads = FakeLoads(d1=ROOMY, d2=ROOMY)
+    selection = Selection('d1', loads)
+    assert selection.choose() == ['d1', 'd2']
+    loads.figures['d1'] = OVERLOADED
+    selection.selector.record_answer('d1', POSITION, 0.5)
+    shares = selection.selector.shares(SERVICE, Consistency.BOUNDED)
+    assert shares == (1.0, 0.0)
+
+
 @pytest.mark.parametrize('record', ['record_overload', 'record_unreachable'])
 def test_a_failed_near_replica_is_tried_last(record):
     """Guards against figures that hide what this daemon has seen itself."""
