--- a/libs/net/siskinsail_net/_accept.py
+++ b/libs/net/siskinsail_net/_accept.py
@@ -16,13 +16,11 @@
 # Pause after a failed acceptance. The listener stays readable meanwhile, so
 # that without a pause the loop would spin.
 _ACCEPT_RETRY_S = 1.0
-
-ConnectionHandler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
-
-
 # Pause of a server at its limit, so that closed connections make room.
 _FULL_PAUSE_S = 0.01
 
+ConnectionHandler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
+
 
 class ConnectionCount:
     """Connections that a server has accepted and not closed yet."""
