Bound the connections withheld for daemons that are cut off

Cause: a new control leader withheld one connection of each database for each registered daemon that had not called it. With 112 connections and 90 such daemons, or 56 and 42, nothing was left, and the daemons that had called lost the connections in use.

Change: at most the total less the allowances of the first reports is withheld, since earlier leaders lent at most the total. The reserve gives way to connections brought from an earlier lease, and is lent only while the bounds are below the total.

--- a/libs/control/siskinsail_control/_connection_lender.py
+++ b/libs/control/siskinsail_control/_connection_lender.py
@@ -42,6 +42,9 @@
     bound: int = 0
     # Number of connections lent with ``lend_reserve``.
     reserve_lent: int = 0
+    # Sum of the allowances that daemons reported in their first calls. They
+    # were lent by earlier leaders.
+    earlier_lent: int = 0
     # A daemon without an allocation holds and wants no connections.
     allocations: dict[DaemonKey, _Allocation] = field(default_factory=dict)
 
@@ -56,6 +59,25 @@
     most one connection to each database, for reads that need no lease, until
     it is deregistered.
 
+    The sum also includes what registered daemons may hold that have not
+    called this leader (awaited daemons). Connections are withheld for them,
+    and no bound is raised unless the bounds and the connections withheld stay
+    within the total. Two limits hold for the connections of the awaited
+    daemons once the leases of earlier leaders have ended:
+
+    - each daemon holds at most one;
+    - together they hold at most the total less what the other daemons
+      reported in their first calls. All of these were lent by earlier
+      leaders, which lent at most the total, and nobody lends between two
+      leaders. Connections that this leader lent from the reserve are not
+      among them.
+
+    The smaller limit is withheld, so the sum stays within the total after
+    any number of changes of the leader. This assumes that the total was not
+    lowered since an earlier leader lent, and that the connections that an
+    earlier leader lent from the reserve were given back before this leader
+    lends from it.
+
     Parameters
     ----------
     settings : ControlSettings
@@ -90,8 +112,8 @@
     def set_registered(self, daemons: frozenset[DaemonKey]) -> None:
         """Set the registered daemons.
 
-        One connection to each database is kept for every daemon that has not
-        called this leader, since the daemon may still hold it.
+        Connections are withheld for those that have not called this leader,
+        since they may still hold them.
         """
         awaited_count = len(daemons - self._reporting_daemons)
         if awaited_count != self._awaited_count:
@@ -123,7 +145,8 @@
             daemon has no connections to them, and all its allowances are sent
             again since it may not know them.
         """
-        if daemon not in self._reporting_daemons or daemon in self._lapsed:
+        is_first_call = daemon not in self._reporting_daemons
+        if is_first_call or daemon in self._lapsed:
             self._add_daemon(daemon)
         reported = {report.database: report for report in reports}
         if not changes_only:
@@ -134,6 +157,8 @@
                 reported[database] = ConnectionReport(database, 0, 0, 0)
         for database, report in reported.items():
             allocation = self._get_allocation(database, daemon)
+            if is_first_call:
+                self._pools[database].earlier_lent += report.allowed
             bound = max(report.allowed, report.open)
             self._set_bound(database, allocation, bound)
             self._record_demand(database, daemon, allocation, report.wanted)
@@ -232,6 +257,7 @@
             for database, pool in self._pools.items()
             if pool.reserve_lent
             < pool.total - self._lendable_total(pool.total)
+            and pool.bound < pool.total
             and database not in self._databases_by_daemon[daemon]
         ]
 
@@ -337,9 +363,7 @@
             pool.allocations[daemon].bound
             for daemon in pool.allocations.keys() & self._lapsed
         )
-        total = (
-            self._lendable_total(pool.total) - retained - self._awaited_count
-        )
+        total = self._target_total(pool) - retained
         targets = self._compute_targets(database, max(0, total))
         for daemon in targets.keys() | pool.allocations.keys() - self._lapsed:
             allocation = self._get_allocation(database, daemon)
@@ -350,6 +374,22 @@
                 self._unsent_databases[daemon].discard(database)
             self._remove_if_empty(database, daemon, allocation)
 
+    def _target_total(self, pool: _Pool) -> int:
+        """Return the connections to divide among the daemons that called.
+
+        Connections are withheld in addition to the reserve. The reserve gives
+        way to those that the daemons brought from an earlier lease, since a
+        change of leader must not close connections in use.
+        """
+        lendable = self._lendable_total(pool.total)
+        return max(
+            lendable - self._withheld(pool), min(lendable, pool.earlier_lent)
+        )
+
+    def _withheld(self, pool: _Pool) -> int:
+        """Return the connections that awaited daemons may hold."""
+        return min(self._awaited_count, max(0, pool.total - pool.earlier_lent))
+
     def _lendable_total(self, total: int) -> int:
         """Return the connections of a database without the reserve.
 
@@ -415,12 +455,13 @@
 
     def _compute_allowance(self, pool: _Pool, allocation: _Allocation) -> int:
         held_by_others = pool.bound - allocation.bound
+        # The reserve that was lent may leave less than should be withheld.
+        # Only targets then reduce bounds: all daemons would otherwise give up
+        # connections for the same excess.
+        withheld = min(self._withheld(pool), max(0, pool.total - pool.bound))
         return max(
             0,
-            min(
-                allocation.target,
-                pool.total - held_by_others - self._awaited_count,
-            ),
+            min(allocation.target, pool.total - held_by_others - withheld),
         )
 
 
--- a/libs/control/tests/test_connection_lender.py
+++ b/libs/control/tests/test_connection_lender.py
@@ -194,6 +194,135 @@
     assert daemon.allowed == TOTAL - 1
 
 
+def _take_over(
+    settings, *, daemons: int, total: int, held: list[int]
+) -> tuple[ConnectionLender, list[_FakeDaemon], list[_FakeDaemon]]:
+    """Return a new leader's lender, the daemons that called, and the others.
+
+    The first daemons have called and reported the connections that an earlier
+    leader lent them. They still need all of these.
+    """
+    lender = ConnectionLender(settings, ManualClock())
+    lender.set_totals({'db': total})
+    fleet = [_FakeDaemon(f'vm-{number:03}') for number in range(daemons)]
+    for daemon, count in zip(fleet, held, strict=False):
+        daemon.allowed = daemon.open = daemon.wanted = count
+        lender.report(daemon.key, daemon.report())
+    lender.set_registered(frozenset(daemon.key for daemon in fleet))
+    return lender, fleet[: len(held)], fleet[len(held) :]
+
+
+PLATFORM_SETTINGS = ControlSettings(
+    connection_reserve=0.25, connections_by_demand=True
+)
+
+
+@pytest.mark.parametrize(
+    ('daemons', 'total', 'held'),
+    [
+        # Fleet B: 139 daemons, 90 of them cut off.
+        pytest.param(139, 112, [2] * 35 + [0] * 14, id='fleet B'),
+        pytest.param(139, 112, [4] * 21 + [0] * 28, id='fleet B, full'),
+        pytest.param(139, 112, [1] * 10 + [0] * 39, id='fleet B, few'),
+        # Fleet A: 65 daemons, 42 of them cut off.
+        pytest.param(65, 56, [2] * 10 + [0] * 13, id='fleet A'),
+        pytest.param(65, 56, [3] * 14 + [0] * 9, id='fleet A, full'),
+        pytest.param(65, 56, [5] + [0] * 22, id='fleet A, one'),
+        # Few daemons are cut off, so the number of them is the limit.
+        pytest.param(65, 56, [1] * 42 + [0] * 13, id='fleet A, ten cut off'),
+    ],
+)
+@pytest.mark.parametrize('by_demand', [False, True])
+def test_daemons_keep_their_connections_while_others_are_cut_off(
+    daemons, total, held, by_demand
+):
+    """Guards against a new leader that withholds more than can be held.
+
+    Where it withheld one connection for each daemon that was cut off, the
+    others lost all connections, and no statement was served until the network
+    was whole again.
+    """
+    settings = ControlSettings(
+        connection_reserve=0.25, connections_by_demand=by_demand
+    )
+    lender, called, cut_off = _take_over(
+        settings, daemons=daemons, total=total, held=held
+    )
+    _settle(lender, called)
+    # Where idle daemons get connections too, the others give up further ones
+    # for them, but not the first.
+    kept = held if by_demand else [min(count, 1) for count in held]
+    lost = [
+        daemon.key
+        for daemon, count in zip(called, kept, strict=True)
+        if daemon.allowed < count
+    ]
+    assert lost == []
+    assert sum(daemon.allowed for daemon in called) >= sum(held)
+    # What the daemons that are cut off may hold at most.
+    may_hold = min(len(cut_off), total - sum(held))
+    assert sum(daemon.allowed for daemon in called) + may_hold <= total
+
+
+@pytest.mark.parametrize(
+    ('daemons', 'total', 'held', 'returned', 'lent'),
+    [
+        # None of the 42 connections that are withheld is held by the first
+        # 48 daemons that return.
+        pytest.param(139, 112, [2] * 35, [0] * 62, 70, id='42 still cut off'),
+        pytest.param(139, 112, [2] * 35, [0] * 104, 84, id='none cut off'),
+        pytest.param(139, 112, [2] * 35, [1] * 14, 84, id='14 hold one each'),
+        pytest.param(65, 56, [2] * 10, [0] * 40, 27, id='15 still cut off'),
+        pytest.param(65, 56, [2] * 10, [1] * 22, 42, id='22 hold one each'),
+    ],
+)
+def test_returning_daemons_release_what_is_withheld(
+    daemons, total, held, returned, lent
+):
+    """Guards against connections that are counted twice.
+
+    The connections that a returning daemon reports are some of those that
+    were withheld.
+    """
+    lender, called, cut_off = _take_over(
+        PLATFORM_SETTINGS, daemons=daemons, total=total, held=held
+    )
+    _settle(lender, called)
+    returning = cut_off[: len(returned)]
+    for daemon, count in zip(returning, returned, strict=True):
+        daemon.allowed = daemon.open = count
+    fleet = [*called, *returning]
+    for daemon in fleet:
+        daemon.wanted = total
+    registered = frozenset(daemon.key for daemon in (*called, *cut_off))
+    for _ in range(2):
+        _settle(lender, fleet)
+        lender.set_registered(registered)
+    _settle(lender, fleet)
+    assert sum(daemon.allowed for daemon in fleet) == lent
+    assert sum(lender.bounds('db').values()) <= total
+
+
+def test_the_reserve_that_a_leader_lent_takes_no_connections_from_others():
+    """Guards against reserve connections counted as lent by an earlier leader.
+
+    The awaited daemons may hold 42 connections, whatever this leader lent
+    from the reserve before the others had called.
+    """
+    settings = PLATFORM_SETTINGS
+    lender, called, _ = _take_over(
+        settings, daemons=139, total=112, held=[2] * 35
+    )
+    restarted = [_FakeDaemon(f'restarted-{number}') for number in range(4)]
+    for daemon in restarted:
+        daemon.wanted = 1
+        lender.report(daemon.key, [])
+        daemon.allowed = lender.lend_reserve(daemon.key)['db']
+    _settle(lender, [*called, *restarted])
+    assert all(daemon.allowed for daemon in (*called, *restarted))
+    assert sum(daemon.allowed for daemon in (*called, *restarted)) == 70
+
+
 @pytest.mark.parametrize(
     ('total', 'wanted', 'shares'),
     [
