Give a holder the time that is left when the call is sent

Cause: a forwarded call had the time limit of the moment at which it was made. A second holder, asked after the first one drained or was not reached, and a holder whose connection took a while, kept the statement in the queue after the caller had stopped waiting. A statement that never ran was then unanswered, a write in doubt. After a wait for the connection the caller also waited past its own deadline by up to 0.3 s.

Change: the time limit, the objective and the age of a read are set in one place, _forwarding_times.at_send_time, right before a call is sent. A call without time left after the connection is not sent and did not run.

The same cause on related paths: - a status query had its whole 0.5 s again after the wait for a connection, so that it outlasted the call of the daemon that asked, which then avoided the holder. It now ends within the time of that call; - the pause before a retry went past the deadline by up to 0.32 s. It ends at the deadline. The time limits of the HTTP path, of statements in transactions and of the holder's own queue are taken when a statement is sent; nothing changed.

--- a/libs/statements/siskinsail_statements/_forwarded_connection.py
+++ b/libs/statements/siskinsail_statements/_forwarded_connection.py
@@ -36,10 +36,6 @@
 from ._statement import Query
 from ._statement import Status
 
-# Two trips between regions and the work of both daemons. A holder answers
-# this much earlier than the caller of the holder stops waiting.
-_RETURN_MARGIN_S = 0.05
-
 
 class ForwardedConnection:
     """Has a holder run the statements of one operation or transaction.
@@ -107,7 +103,6 @@
             ForwardedAction.BEGIN,
             variables,
             min_position,
-            timeout_s,
             is_read_only=begin.is_read_only,
         )
         return await self._call(call, timeout_s)
@@ -130,7 +125,6 @@
             action,
             variables,
             min_position,
-            timeout_s,
             request_id=request_id,
             statement=statement,
         )
@@ -147,7 +141,6 @@
             ForwardedAction.COMMIT,
             variables,
             None,
-            timeout_s,
             request_id=request_id,
         )
         result = await self._call(call, timeout_s)
@@ -185,7 +178,6 @@
             self._server.group,
             self._server.database,
             self.account,
-            timeout_s=_holder_timeout_s(timeout_s),
         )
         return await self._call(call, timeout_s)
 
@@ -197,7 +189,6 @@
         action: ForwardedAction,
         variables: SessionVariables,
         min_position: MinPosition,
-        timeout_s: float,
         *,
         request_id: RequestId = RequestId(''),  # noqa: B008
         statement: Query | Execute | None = None,
@@ -229,7 +220,6 @@
             ),
             session_term=session_position.term if session_position else 0,
             session_index=session_position.index if session_position else 0,
-            timeout_s=_holder_timeout_s(timeout_s),
             objective_s=max(0.0, self._waiter.objective_s - now_s),
             weight=self._waiter.weight,
             priority=self._waiter.priority,
@@ -242,11 +232,12 @@
     ) -> ExchangeResult:
         """Call the first holder that is available."""
         unavailable: AccountAcquireFailure = HolderUnavailableError('none')
-        end_s = self._forwarder.clock.now_s() + timeout_s
+        made_s = self._forwarder.clock.now_s()
         for daemon in self._holders:
-            remaining_s = end_s - self._forwarder.clock.now_s()
             try:
-                answer = await self._forwarder.call(daemon, call, remaining_s)
+                answer = await self._forwarder.call(
+                    daemon, call, made_s, made_s + timeout_s
+                )
             except HolderUnavailableError as error:
                 unavailable = error
             except HolderLostError as error:
@@ -281,7 +272,3 @@
         except ValueError as error:
             # An error code or a state of another version.
             return Failure(ConnectionFailedError(str(error)))
-
-
-def _holder_timeout_s(timeout_s: float) -> float:
-    return max(timeout_s - _RETURN_MARGIN_S, timeout_s / 2)
--- a/libs/statements/siskinsail_statements/_forwarder.py
+++ b/libs/statements/siskinsail_statements/_forwarder.py
@@ -34,6 +34,7 @@
 from ._forwarding_messages import FORWARD_METHOD
 from ._forwarding_messages import ForwardedAnswer
 from ._forwarding_messages import ForwardedCall
+from ._forwarding_times import at_send_time
 from ._load_balancer import HolderLoadBalancer
 
 # Ten round trips between regions, in which a first connection is established.
@@ -277,30 +278,39 @@
             self._balancer.guests.record(database, account)
 
     async def call(
-        self, daemon: ServingDaemon, call: ForwardedCall, timeout_s: float
+        self,
+        daemon: ServingDaemon,
+        call: ForwardedCall,
+        made_s: float,
+        end_s: float,
     ) -> ForwardedAnswer:
         """Call a holder.
 
+        Parameters
+        ----------
+        made_s : float
+            Time at which the call was made, to which its times refer.
+        end_s : float
+            Time at which the caller stops waiting for an answer.
+
         Raises
         ------
         HolderUnavailableError
-            If there is no connection to the holder.
+            If there is no connection to the holder, or too little time.
         HolderLostError
             If the holder does not answer.
         """
-        if timeout_s < _MIN_CALL_S:
-            raise HolderUnavailableError('too little time is left for a call')
+        self._check_time_left(end_s)
         client = self._clients.client(daemon)
-        if not client.is_connected and (
-            client.failed_attempts
-            or not await client.wait_connected(min(timeout_s, _CONNECT_WAIT_S))
-        ):
-            self._record_failure(daemon, 'no connection')
-            raise HolderUnavailableError(f'no connection to {daemon.vm}')
+        if not client.is_connected:
+            await self._connect(daemon, client, end_s)
+            self._check_time_left(end_s)
         sent_s = self._clock.now_s()
+        timeout_s = end_s - sent_s
+        timed_call = at_send_time(call, timeout_s, sent_s - made_s)
         try:
             payload = await client.call(
-                FORWARD_METHOD, encode_call(call), timeout_s
+                FORWARD_METHOD, encode_call(timed_call), timeout_s
             )
             answer = decode_answer(payload)
         except (TransportError, ProtocolError, PeerCallError) as error:
@@ -314,6 +324,19 @@
             self._balancer.record_answer(daemon.vm, call, answer, call_s)
         return answer
 
+    def _check_time_left(self, end_s: float) -> None:
+        if end_s - self._clock.now_s() < _MIN_CALL_S:
+            raise HolderUnavailableError('too little time is left for a call')
+
+    async def _connect(
+        self, daemon: ServingDaemon, client: HolderClient, end_s: float
+    ) -> None:
+        """Wait for the first connection to a holder."""
+        wait_s = min(end_s - self._clock.now_s(), _CONNECT_WAIT_S)
+        if client.failed_attempts or not await client.wait_connected(wait_s):
+            self._record_failure(daemon, 'no connection')
+            raise HolderUnavailableError(f'no connection to {daemon.vm}')
+
     def avoid(self, daemon: ServingDaemon, reason: str) -> None:
         """Avoid a holder that refuses to run statements."""
         self._record_failure(daemon, reason)
--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -322,10 +322,13 @@
         if age_s > _FRESH_POSITION_S:
             pool = self._pools.local_pool(call.database)
             if pool is not None:
-                await self._sampler.query(call.service, call.account, pool)
+                await self._sampler.query(
+                    call.service, call.account, pool, call.timeout_s
+                )
             age_s = self._clock.now_s() - samples.newest_sent_s
         position = samples.newest
-        if position is None or age_s > call.timeout_s:
+        max_age_s = max(call.timeout_s, _FRESH_POSITION_S)
+        if position is None or age_s > max_age_s:
             return not_run(
                 NotRunReason.POSITION_UNKNOWN, 'no recent position is known'
             )
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -154,7 +154,7 @@
             )
             if final_error is not None:
                 return Failure(final_error)
-            await self._pause(rounds)
+            await self._pause(operation, rounds)
 
     def _handle_write_failure(
         self,
@@ -234,7 +234,7 @@
                 busy_rounds >= _MAX_BUSY_ROUNDS
             ):
                 return Failure(last_error or _no_database_error())
-            await self._pause(busy_rounds)
+            await self._pause(operation, busy_rounds)
 
     def _handle_read_failure(
         self, target: DatabaseTarget, error: AttemptError
@@ -323,9 +323,11 @@
         )
         return self._clock.now_s() + attempt_s
 
-    async def _pause(self, rounds: int) -> None:
+    async def _pause(self, operation: Operation, rounds: int) -> None:
+        """Pause before another attempt, at most until the deadline."""
         pause_s = self._settings.retry_pause_s * 2 ** min(rounds, 4)
-        await self._primaries.wait_for_change(pause_s)
+        remaining_s = self._sender.remaining_s(operation)
+        await self._primaries.wait_for_change(min(pause_s, remaining_s))
 
 
 _FINAL_CODES = frozenset(
--- a/libs/statements/siskinsail_statements/_sampler.py
+++ b/libs/statements/siskinsail_statements/_sampler.py
@@ -97,7 +97,11 @@
         )
 
     async def query(
-        self, service: ServiceId, account: AccountId, pool: StatementPool
+        self,
+        service: ServiceId,
+        account: AccountId,
+        pool: StatementPool,
+        timeout_s: float = _QUERY_TIMEOUT_S,
     ) -> None:
         """Query the position of the primary on a connection of a pool.
 
@@ -107,10 +111,12 @@
             Account whose connection is used.
         pool : StatementPool
             Pool of the primary.
+        timeout_s : float
+            Longest time for the connection and the answer together.
         """
         self._querying.add(service)
         try:
-            deadline_s = self._clock.now_s() + _QUERY_TIMEOUT_S
+            deadline_s = self._clock.now_s() + min(timeout_s, _QUERY_TIMEOUT_S)
             acquired = await pool.acquire(
                 Waiter(account, _QUEUE_WEIGHT, deadline_s)
             )
@@ -121,8 +127,10 @@
                 if not self._primaries.is_current(service, pool):
                     return
                 sent_s = self._clock.now_s()
+                if sent_s >= deadline_s:
+                    return
                 result = await connection.run_command(
-                    Command(Status()), _QUERY_TIMEOUT_S
+                    Command(Status()), deadline_s - sent_s
                 )
             finally:
                 pool.release(connection)
