Limit the weight of a request where it enters a queue

Cause: the fair queue divided by the weight that a call of another daemon states. 0, which is also the value of a call that states none, raised a ZeroDivisionError at the holder, in the estimate of the wait and when the request was served; a local request of weight 0 did the same. Infinite, very large and undefined weights did harm as well: the sum of the weights lost those of the other accounts, so their requests were refused or waited by wrong estimates.

Decision: local queues serve requests of every account, and the smallest weight that daemons use themselves is that of status queries and of record expiry, 0.25, a quarter of a bronze account. A weight that is no positive finite number therefore counts as that smallest weight: the request waits longest and is still served. Finite weights are limited to 0.25 to 4,000, the largest weight of the catalogue. Refusing such a call was considered; the caller would be told "in doubt" for a statement that could run.

Change: Waiter limits its weight (_queue_weight.bounded_weight), so calls of other daemons and local requests agree, in both queue policies. The weight of an account in the queue is the largest one of its requests; the first request determined it before, so that one call without a weight, or one status query, lowered the share of its account. The two constants of background requests are one.

--- a/libs/backend/siskinsail_backend/__init__.py
+++ b/libs/backend/siskinsail_backend/__init__.py
@@ -26,6 +26,8 @@
 from ._queue import QueueLimits as QueueLimits
 from ._queue import QueuePolicy as QueuePolicy
 from ._queue import Waiter as Waiter
+from ._queue_weight import BACKGROUND_WEIGHT as BACKGROUND_WEIGHT
+from ._queue_weight import MAX_REQUEST_WEIGHT as MAX_REQUEST_WEIGHT
 from ._replica_chooser import Candidate as Candidate
 from ._replica_chooser import ReplicaChooser as ReplicaChooser
 from ._serving_replicas import serving_replicas as serving_replicas
--- a/libs/backend/siskinsail_backend/_queue.py
+++ b/libs/backend/siskinsail_backend/_queue.py
@@ -9,6 +9,8 @@
 
 from siskinsail_types import AccountId
 
+from ._queue_weight import bounded_weight
+
 # The heaps of an account are rebuilt once they have this many entries more
 # than twice the number of its waiting requests.
 _STALE_ENTRY_MARGIN = 32
@@ -32,7 +34,8 @@
     account : AccountId
         The client account.
     weight : float
-        Weight of the account multiplied by the weight of the service class.
+        Weight of the account multiplied by the weight of the service class;
+        limited as described in ``bounded_weight``.
     deadline_s : float
         Latest time at which the request may be served.
     objective_s : float or None
@@ -61,7 +64,7 @@
         priority: int = 0,
     ) -> None:
         self.account = account
-        self.weight = weight
+        self.weight = bounded_weight(weight)
         self.deadline_s = deadline_s
         self.objective_s = deadline_s if objective_s is None else objective_s
         self.priority = priority
@@ -248,8 +251,10 @@
 
     Each account has the start tag of its next request. The account with the
     smallest start tag is served next, and a served request increases the tag
-    of its account by one divided by its weight. ``_AccountQueue`` determines
-    the order within an account.
+    of its account by one divided by its weight. The weight of an account is
+    the largest one of its requests, so a status query or a call that states
+    no weight takes nothing from the other requests of the account.
+    ``_AccountQueue`` determines the order within an account.
 
     References
     ----------
@@ -278,6 +283,9 @@
             self._accounts[waiter.account] = queue
             self._weight_sum += waiter.weight
             self._schedule_account(waiter.account)
+        elif waiter.weight > queue.weight:
+            self._weight_sum += waiter.weight - queue.weight
+            queue.weight = waiter.weight
         queue.push(waiter, self._sequence)
         self._length += 1
 
--- a/libs/backend/tests/test_queue.py
+++ b/libs/backend/tests/test_queue.py
@@ -1,13 +1,18 @@
 """Guards order, fairness and limits of waiting requests."""
 
 from collections import Counter
+import math
 
 import pytest
 
+from siskinsail_backend import BACKGROUND_WEIGHT
 from siskinsail_backend import FairQueue
 from siskinsail_backend import FifoQueue
+from siskinsail_backend import MAX_REQUEST_WEIGHT
 from siskinsail_backend import QueueLimits
 from siskinsail_backend import Waiter
+from siskinsail_catalogue import MAX_WEIGHT
+from siskinsail_types import ServiceClass
 
 
 def _accounts_served(queue, count):
@@ -54,6 +59,87 @@
     assert queue.pop(0.0) is None
 
 
+ODD_WEIGHTS = [
+    0.0,
+    -0.0,
+    -1.0,
+    math.nan,
+    math.inf,
+    -math.inf,
+    5e-324,
+    1e-300,
+    1e-9,
+    1e17,
+    1e300,
+]
+
+
+@pytest.mark.parametrize('weight', ODD_WEIGHTS)
+@pytest.mark.parametrize('queue_type', [FairQueue, FifoQueue])
+def test_a_request_of_any_weight_is_served(queue_type, weight):
+    """Guards against a weight of 0 that raises an error in the queue.
+
+    A call of another daemon may state any weight, and 0 if it states none.
+    """
+    queue = queue_type()
+    odd = Waiter('odd', weight, 0)
+    assert BACKGROUND_WEIGHT <= odd.weight <= MAX_REQUEST_WEIGHT
+    assert queue.expected_requests_ahead(odd) == 0
+    for name in 'abc':
+        queue.push(Waiter(name, 1, 0))
+    assert 0 <= queue.expected_requests_ahead(odd) <= 3
+    queue.push(odd)
+    for name in 'abc':
+        ahead = queue.expected_requests_ahead(Waiter(name, 1, 0))
+        assert 0 <= ahead <= 4
+    assert sorted(_accounts_served(queue, 4)) == ['a', 'b', 'c', 'odd']
+    assert queue.pop(0.0) is None
+
+
+@pytest.mark.parametrize('weight', ODD_WEIGHTS)
+def test_a_weight_does_not_end_the_fairness_of_the_others(weight):
+    """Guards against tags without a difference after an extreme weight.
+
+    The queue is never empty, as at a busy database.
+    """
+    queue = FairQueue()
+    queue.push(Waiter('odd', weight, 0))
+    queue.push(Waiter('odd', weight, 0))
+    _accounts_served(queue, 1)
+    for deadline_s in range(100):
+        queue.push(Waiter('a', 4, deadline_s))
+        queue.push(Waiter('b', 1, deadline_s))
+    counts = Counter(_accounts_served(queue, 101))
+    assert abs(counts['a'] - 4 * counts['b']) <= 5
+    ahead = queue.expected_requests_ahead(Waiter('c', 5, 0))
+    assert 0 < ahead <= 3
+
+
+@pytest.mark.parametrize('weight', [0.0, math.nan, BACKGROUND_WEIGHT])
+def test_one_weight_does_not_lower_the_share_of_its_account(weight):
+    """Guards against an account that pays for one request without a weight.
+
+    The first request in the queue determined the weight of its account.
+    """
+    queue = FairQueue()
+    queue.push(Waiter('a', weight, -1))
+    for deadline_s in range(100):
+        queue.push(Waiter('a', 4, deadline_s))
+        queue.push(Waiter('b', 1, deadline_s))
+    counts = Counter(_accounts_served(queue, 100))
+    assert abs(counts['a'] - 80) <= 1
+    _accounts_served(queue, 101)
+    assert queue._weight_sum == 0.0
+
+
+def test_weights_of_the_catalogue_are_not_limited():
+    """Guards against a limit that changes the share of a client account."""
+    for service_class in ServiceClass:
+        for weight in (1, MAX_WEIGHT):
+            account_weight = float(weight * service_class.weight)
+            assert Waiter('a', account_weight, 0).weight == account_weight
+
+
 def test_idle_account_accumulates_no_credit():
     """Guards against a burst after an idle time that starves the others."""
     queue = FairQueue()
--- a/libs/catalogue/siskinsail_catalogue/__init__.py
+++ b/libs/catalogue/siskinsail_catalogue/__init__.py
@@ -33,6 +33,7 @@
 from ._validation import entry_key as entry_key
 from ._validation import EntryKey as EntryKey
 from ._validation import MAX_ENTRIES as MAX_ENTRIES
+from ._validation import MAX_WEIGHT as MAX_WEIGHT
 from ._view import BackendServer as BackendServer
 from ._view import GroupState as GroupState
 from ._view import ServingDaemon as ServingDaemon
--- a/libs/proxy/siskinsail_proxy/_expiry_transactions.py
+++ b/libs/proxy/siskinsail_proxy/_expiry_transactions.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 
 from siskinsail_admission import Caller
+from siskinsail_backend import BACKGROUND_WEIGHT
 from siskinsail_backend import DatabaseConnection
 from siskinsail_backend import DatabaseError
 from siskinsail_backend import ExecuteAnswer
@@ -28,8 +29,6 @@
 
 # Names of client accounts contain no space, so no account has this name.
 EXPIRY_ACCOUNT = AccountId('siskinsail sweep')
-# A quarter of the weight of a bronze account, since deletions can wait.
-_QUEUE_WEIGHT = 0.25
 _TRANSACTION_TIMEOUT_S = 5.0
 
 ExpiryTransactionResult = Result[
@@ -128,6 +127,6 @@
         return RequestContext(
             RequestId(f'sweep-{generate_id()}'),
             self._clock.now_s() + _TRANSACTION_TIMEOUT_S,
-            Caller(EXPIRY_ACCOUNT, None, _QUEUE_WEIGHT, 'none'),
+            Caller(EXPIRY_ACCOUNT, None, BACKGROUND_WEIGHT, 'none'),
             HttpConnection(''),
         )
--- a/libs/statements/siskinsail_statements/_sampler.py
+++ b/libs/statements/siskinsail_statements/_sampler.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from siskinsail_backend import BACKGROUND_WEIGHT
 from siskinsail_backend import Waiter
 from siskinsail_types import AccountId
 from siskinsail_types import Clock
@@ -20,8 +21,6 @@
 
 _CHECK_INTERVAL_S = 0.2
 _QUERY_TIMEOUT_S = 0.5
-# A low weight, so that statements of callers come first in the queues.
-_QUEUE_WEIGHT = 0.25
 
 
 class _Demand(NamedTuple):
@@ -118,7 +117,7 @@
         try:
             deadline_s = self._clock.now_s() + min(timeout_s, _QUERY_TIMEOUT_S)
             acquired = await pool.acquire(
-                Waiter(account, _QUEUE_WEIGHT, deadline_s)
+                Waiter(account, BACKGROUND_WEIGHT, deadline_s)
             )
             if isinstance(acquired, Failure):
                 return
--- a/libs/statements/siskinsail_statements/forwarding.capnp
+++ b/libs/statements/siskinsail_statements/forwarding.capnp
@@ -71,7 +71,8 @@
   sessionIndex @15 :UInt64;
   timeoutS @16 :Float64;
   objectiveS @17 :Float64;
-  # Weight of the account and priority of the request in the queue.
+  # Weight of the account and priority of the request in the queue. A weight
+  # that is no positive number, such as 0 for none, is the smallest one.
   weight @18 :Float64;
   priority @19 :Int32;
   # Number of an open transaction.
--- a/libs/statements/tests/test_holders.py
+++ b/libs/statements/tests/test_holders.py
@@ -4,6 +4,7 @@
 process; their links lose calls and answers.
 """
 
+import math
 import random
 
 import anyio
@@ -24,6 +25,11 @@
 from siskinsail_statements import SetValue
 from siskinsail_statements import StatementErrorCode
 from siskinsail_statements import TransactionState
+from siskinsail_statements._forwarding_messages import decode_answer
+from siskinsail_statements._forwarding_messages import encode_call
+from siskinsail_statements._forwarding_messages import ForwardedAction
+from siskinsail_statements._forwarding_messages import ForwardedCall
+from siskinsail_statements._forwarding_messages import ForwardedOutcome
 from siskinsail_types import GroupPhase
 from siskinsail_types import LeaseState
 
@@ -375,6 +381,49 @@
         assert sum(demands) == len(KEYS)
 
 
+@pytest.mark.parametrize(
+    'weight', [0.0, -1.0, math.nan, math.inf, 5e-324, 1e300, 1.0]
+)
+async def test_a_call_of_any_weight_waits_for_a_connection(weight):
+    """Guards against a call without a weight that fails in the queue.
+
+    The only connection is in use by a transaction when the call arrives.
+    """
+    async with new_fleet(connections=1) as fleet:
+        holder = fleet.daemons[fleet.holders()[0]]
+        handle = holder.service.holder.handle
+        session = await holder.open()
+        await run(session, 'b', Begin())
+        assert await run(session, 'w', WRITE) is None
+        answers = []
+
+        async def call(request_id, account, stated_weight):
+            forwarded = ForwardedCall(
+                ForwardedAction.RUN,
+                'orders',
+                'd0',
+                account,
+                request_id,
+                'WRITE 1 x',
+                is_write=True,
+                needs_primary=True,
+                timeout_s=2.0,
+                objective_s=1.0,
+                weight=stated_weight,
+            )
+            payload = await handle('another', encode_call(forwarded))
+            answers.append(decode_answer(payload).outcome)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call, 'odd', 'agents', weight)
+            tasks.start_soon(call, 'other', 'depots', 1.0)
+            pool = holder.pools.pool('d0')
+            await wait_until(lambda: pool.waiting == 2)
+            assert await run(session, 'c', Commit()) is None
+        assert answers == [ForwardedOutcome.ANSWERED] * 2
+        assert sorted(fleet.group.commits) == ['c', 'odd', 'other']
+
+
 @pytest.mark.parametrize('holder_settings', [HOLDERS, BALANCED])
 @pytest.mark.parametrize('seed', range(8))
 async def test_random_faults_keep_every_promise(seed, holder_settings):
