--- a/libs/statements/siskinsail_statements/_sampler.py
+++ b/libs/statements/siskinsail_statements/_sampler.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from siskinsail_backend import BACKGROUND_WEIGHT
 from siskinsail_backend import Waiter
 from siskinsail_types import AccountId
 from siskinsail_types import Clock
@@ -20,8 +21,6 @@
 
 _CHECK_INTERVAL_S = 0.2
 _QUERY_TIMEOUT_S = 0.5
-# A low weight, so that statements of callers come first in the queues.
-_QUEUE_WEIGHT = 0.25
 
 
 class _Demand(NamedTuple):
@@ -97,7 +96,11 @@
         )
 
     async def query(
-        self, service: ServiceId, account: AccountId, pool: StatementPool
+        self,
+        service: ServiceId,
+        account: AccountId,
+        pool: StatementPool,
+        timeout_s: float = _QUERY_TIMEOUT_S,
     ) -> None:
         """Query the position of the primary on a connection of a pool.
 
@@ -107,12 +110,14 @@
             Account whose connection is used.
         pool : StatementPool
             Pool of the primary.
+        timeout_s : float
+            Longest time for the connection and the answer together.
         """
         self._querying.add(service)
         try:
-            deadline_s = self._clock.now_s() + _QUERY_TIMEOUT_S
+            deadline_s = self._clock.now_s() + min(timeout_s, _QUERY_TIMEOUT_S)
             acquired = await pool.acquire(
-                Waiter(account, _QUEUE_WEIGHT, deadline_s)
+                Waiter(account, BACKGROUND_WEIGHT, deadline_s)
             )
             if isinstance(acquired, Failure):
                 return
@@ -121,8 +126,10 @@
                 if not self._primaries.is_current(service, pool):
                     return
                 sent_s = self._clock.now_s()
+                if sent_s >= deadline_s:
+                    return
                 result = await connection.run_command(
-                    Command(Status()), _QUERY_TIMEOUT_S
+                    Command(Status()), deadline_s - sent_s
                 )
             finally:
                 pool.release(connection)
