Refuse requests that would wait for tokens in vain while cut off

Cause: a daemon that reaches no control member gets no tokens, and held each request that lacked one for its whole wait, 0.56 to 1.0 s, before it refused it without a time to come back. The agent did not tell the borrower whether its calls were answered.

Change: the agent records with each sync call whether a member answered, in any way, and whether any member is connected. LenderContact decides without a network. A wait ends early if no member is connected for a whole call timeout or three sync calls in a row had no answer, no member has answered for 1.5 s, the silence has lasted for twice what the wait has left, and the requests ahead take all that the rate share and the overrun allowance admit until then. The refusal is "not run", which is true as no database was chosen yet; its time to come back is the spared wait times 0.5 to 1.5.

Where it takes effect: only with refuses_while_cut_off, false by default, and not in short delays, whose requests are served today. In a change of leader the other members answer that they do not lead; two lost members leave two calls unanswered; a frozen daemon, a late leader and short losses of the network do not meet the conditions. The first answer or new connection ends the state. What remains is the end of a partition: a request sent in the last wait would have been served and comes back within one and a half waits instead. The longer the wait, the more of these there are, so it should stay off where waits are long, as on the HTTP interface with 3 s.

--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -147,6 +147,7 @@
         self._is_redirected = False
         # Whether the leader answered the last call and so has its reports.
         self._is_last_call_answered = False
+        self._did_refuse_waits = False
         self._is_ready: Callable[[], bool] = lambda: False
         self._allowances = Allowances()
         self._observations = DatabaseObservations(clock)
@@ -259,9 +260,12 @@
     async def _sync(self) -> bool:
         """Make a sync call; return whether to call again without a pause."""
         self._log_lease_change()
-        if not await self._finder.wait_any_connected(
+        is_connected = await self._finder.wait_any_connected(
             self._settings.call_timeout_s
-        ):
+        )
+        self._borrower.record_connection(is_connected=is_connected)
+        self._log_refused_waits()
+        if not is_connected:
             return False
         self._finder.prefer_connected()
         client = self._finder.client
@@ -271,6 +275,8 @@
         # brings the first tokens.
         sent_s = self._clock.now_s()
         answer = await self._call_sync(request)
+        self._borrower.record_call(is_answered=answer is not None)
+        self._log_refused_waits()
         was_redirected, self._is_redirected = self._is_redirected, False
         if answer is None:
             self._finder.record_failure(client)
@@ -448,6 +454,12 @@
             log_event(message_type, view_version=self._view.version)
         self._was_lease_held = is_held
 
+    def _log_refused_waits(self) -> None:
+        refuses_waits = self._borrower.refuses_waits
+        if refuses_waits != self._did_refuse_waits:
+            log_event('token_waits', are_refused=refuses_waits)
+        self._did_refuse_waits = refuses_waits
+
     async def _watch_lease_end(self) -> None:
         """Have the pools close connections as soon as the lease has ended."""
         while True:
@@ -481,7 +493,9 @@
             )
             answer = decode_message(BorrowAnswer, payload)
         except SiskinsailError:
+            # Not recorded: several calls may wait for the same member.
             return []
+        self._borrower.record_call(is_answered=True)
         # Grants are counted from the registration; a new registration starts
         # at zero.
         if answer.status is not Status.OK or (
--- a/libs/control/siskinsail_control/_loan_ports.py
+++ b/libs/control/siskinsail_control/_loan_ports.py
@@ -87,6 +87,19 @@
         """Time of admission at its own share, reported to register."""
         ...
 
+    @property
+    def refuses_waits(self) -> bool:
+        """Whether requests that would wait in vain are refused now."""
+        ...
+
+    def record_connection(self, *, is_connected: bool) -> None:
+        """Record whether any control member is connected."""
+        ...
+
+    def record_call(self, *, is_answered: bool) -> None:
+        """Record whether a control member answered a call, in any way."""
+        ...
+
     def record_answer(self, daemon_count: int) -> None:
         """Record an answer, with the number of daemons."""
         ...
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -176,8 +176,9 @@
         incarnation: str = '1',
         peer_address: str = '',
         counter=None,
+        limits: LimitSettings | None = None,
     ) -> ControlAgent:
-        borrower = Borrower(LimitSettings(), self.clock)
+        borrower = Borrower(limits or LimitSettings(), self.clock)
         self.borrowers[vm] = borrower
         agent = ControlAgent(
             self.settings,
--- a/libs/daemon/siskinsail_daemon/_settings.py
+++ b/libs/daemon/siskinsail_daemon/_settings.py
@@ -162,6 +162,11 @@
         description='maximum wait for a token while no control leader '
         'responds',
     )
+    refuses_while_cut_off: bool = Field(
+        False,
+        description='refuse requests at once that would wait for a token in '
+        'vain, since no control member can be reached',
+    )
     memory_mb: float = Field(
         0.0,
         ge=0,
@@ -253,6 +258,7 @@
             limit_policy=self.limit_policy,
             limit_shares=self.limit_shares,
             lender_wait_s=self.lender_wait_s,
+            refuses_while_cut_off=self.refuses_while_cut_off,
         )
 
     def consensus(self, data_folder: Path) -> ConsensusSettings:
--- a/libs/limits/siskinsail_limits/_borrower.py
+++ b/libs/limits/siskinsail_limits/_borrower.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import math
+import random
 
 import anyio
 from returns.result import Failure
@@ -21,6 +22,7 @@
 from ._account_tokens import AccountTokens
 from ._account_tokens import TokenWaiter
 from ._bucket import TokenBucket
+from ._lender_contact import LenderContact
 from ._loan import LoanBalance
 from ._loan import LoanGrant
 from ._loan import LoanReport
@@ -47,9 +49,16 @@
         Settings, which have to equal those of the lender.
     clock : Clock
         Time source.
+    draw : callable
+        Returns a random number from 0 to 1.
     """
 
-    def __init__(self, settings: LimitSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: LimitSettings,
+        clock: Clock,
+        draw: Callable[[], float] = random.random,
+    ) -> None:
         self._settings = settings
         self._clock = clock
         self._account_tokens: dict[AccountId, AccountTokens] = {}
@@ -61,6 +70,7 @@
         self._overrun_allowances: dict[AccountId, OverrunAllowance] = {}
         self._rate_shares: dict[AccountId, RateShare] = {}
         self._share_timer = LocalShareTimer(settings)
+        self._contact = LenderContact(settings, clock.now_s(), draw)
         self._last_reports: dict[AccountId, LoanReport] = {}
 
     @property
@@ -68,6 +78,23 @@
         """Seconds of local admission to report with a registration."""
         return self._share_timer.finished_use_s
 
+    @property
+    def refuses_waits(self) -> bool:
+        """Whether requests that would wait in vain are refused now."""
+        return self._contact.refuses_waits
+
+    def record_connection(self, *, is_connected: bool) -> None:
+        """Record whether any control member is connected."""
+        self._contact.record_connection(
+            self._clock.now_s(), is_connected=is_connected
+        )
+        self._review_waits()
+
+    def record_call(self, *, is_answered: bool) -> None:
+        """Record whether a control member answered a call, in any way."""
+        self._contact.record_call(self._clock.now_s(), is_answered=is_answered)
+        self._review_waits()
+
     def record_answer(self, daemon_count: int) -> None:
         """Record an answer of the lender.
 
@@ -218,21 +245,23 @@
                 # not answer.
                 last_answer_s = max(started_s, tokens.last_answer_s)
                 give_up_s = last_answer_s + self._settings.lender_wait_s
+                end_s = min(deadline_s, give_up_s)
                 now_s = self._clock.now_s()
-                left_s = min(deadline_s, give_up_s) - now_s
-                since_answer_s = now_s - last_answer_s
-                next_share_s = self._take_rate_share(account, now_s)
-                if next_share_s <= 0:
+                next_admission_s = self._admit_without_loan(
+                    account, now_s, now_s - last_answer_s
+                )
+                if next_admission_s <= 0:
                     return Success(None)
-                left_s = min(left_s, next_share_s)
-                if since_answer_s >= self._settings.overrun_after_s:
-                    if self._try_overrun(account, now_s):
-                        return Success(None)
-                elif self._settings.overrun_window_s:
-                    delay_s = self._settings.overrun_after_s - since_answer_s
-                    left_s = min(left_s, delay_s)
+                left_s = min(end_s - now_s, next_admission_s)
                 if left_s <= 0:
                     break
+                vain_in_s = self._vain_in_s(account, tokens, waiter, end_s)
+                if vain_in_s <= 0:
+                    return _refused(
+                        'cut off from the lender of tokens; not run',
+                        self._contact.retry_after_s(end_s - now_s),
+                    )
+                left_s = min(left_s, vain_in_s)
                 with anyio.move_on_after(left_s):
                     await self._wait_or_call(account, tokens, waiter)
         finally:
@@ -248,17 +277,88 @@
             'client account exceeds its rate limit', max(0.0, left_s) or None
         )
 
+    def _admit_without_loan(
+        self, account: AccountId, now_s: float, since_answer_s: float
+    ) -> float:
+        """Admit a request at the rate share or within the overrun.
+
+        Returns
+        -------
+        float
+            0 if the request is admitted, else the seconds until it may be.
+        """
+        next_share_s = self._take_rate_share(account, now_s)
+        if next_share_s <= 0:
+            return 0.0
+        overrun_in_s = self._settings.overrun_after_s - since_answer_s
+        if overrun_in_s <= 0:
+            is_admitted = self._try_overrun(account, now_s)
+            return 0.0 if is_admitted else next_share_s
+        if self._settings.overrun_window_s:
+            return min(next_share_s, overrun_in_s)
+        return next_share_s
+
+    def _vain_in_s(
+        self,
+        account: AccountId,
+        tokens: AccountTokens,
+        waiter: TokenWaiter,
+        end_s: float,
+    ) -> float:
+        """Return the seconds until a wait is in vain; infinite if unknown."""
+        vain_in_s = self._contact.vain_in_s(self._clock.now_s(), end_s)
+        if math.isinf(vain_in_s):
+            return vain_in_s
+        ahead = tokens.waiters.index(waiter)
+        if ahead < self._local_tokens_until(account, end_s):
+            return math.inf
+        return vain_in_s
+
+    def _local_tokens_until(self, account: AccountId, end_s: float) -> int:
+        """Return how many requests are admitted without a loan until then."""
+        limit = self._limits.get(account)
+        if limit is None:
+            return 0
+        daemon_count = self._share_timer.daemon_count
+        allowance = self._overrun_allowance(account)
+        return allowance.tokens_until(
+            limit, daemon_count, end_s
+        ) + self._rate_share(account).tokens_until(
+            limit,
+            daemon_count,
+            self._share_timer.used_s(self._clock.now_s()),
+            self._share_timer.used_s(end_s),
+        )
+
+    def _review_waits(self) -> None:
+        """Wake waiting requests when no member can be reached any more."""
+        if not self._contact.refuses_waits:
+            return
+        for tokens in self._account_tokens.values():
+            for waiter in tokens.waiters:
+                waiter.notify()
+
+    def _overrun_allowance(self, account: AccountId) -> OverrunAllowance:
+        allowance = self._overrun_allowances.get(account)
+        if allowance is None:
+            allowance = OverrunAllowance(self._settings)
+            self._overrun_allowances[account] = allowance
+        return allowance
+
+    def _rate_share(self, account: AccountId) -> RateShare:
+        share = self._rate_shares.get(account)
+        if share is None:
+            share = self._rate_shares[account] = RateShare(self._settings)
+        return share
+
     def _try_overrun(self, account: AccountId, now_s: float) -> bool:
         """Admit a request within the tolerated overrun if possible."""
         limit = self._limits.get(account)
         if limit is None:
             return False
-        allowance = self._overrun_allowances.get(account)
-        if allowance is None:
-            allowance = self._overrun_allowances[account] = OverrunAllowance(
-                self._settings
-            )
-        return allowance.try_take(limit, self._share_timer.daemon_count, now_s)
+        return self._overrun_allowance(account).try_take(
+            limit, self._share_timer.daemon_count, now_s
+        )
 
     def _take_rate_share(self, account: AccountId, now_s: float) -> float:
         """Admit a request at this daemon's share of the rate.
@@ -272,10 +372,9 @@
         used_s = self._share_timer.used_s(now_s)
         if limit is None or used_s <= 0:
             return math.inf
-        share = self._rate_shares.get(account)
-        if share is None:
-            share = self._rate_shares[account] = RateShare(self._settings)
-        return share.take(limit, self._share_timer.daemon_count, used_s)
+        return self._rate_share(account).take(
+            limit, self._share_timer.daemon_count, used_s
+        )
 
     async def _wait_or_call(
         self, account: AccountId, tokens: AccountTokens, waiter: TokenWaiter
--- a/libs/limits/siskinsail_limits/_overrun_allowance.py
+++ b/libs/limits/siskinsail_limits/_overrun_allowance.py
@@ -52,3 +52,14 @@
             return False
         self._admitted_s.append(now_s)
         return True
+
+    def tokens_until(
+        self, limit: AccountLimit, daemon_count: int, end_s: float
+    ) -> int:
+        """Return how many tokens can be taken until a time."""
+        window_s = self._settings.overrun_window_s
+        if window_s <= 0 or daemon_count <= 0:
+            return 0
+        allowed = int(self._settings.overrun(limit) / daemon_count)
+        kept = sum(one > end_s - window_s for one in self._admitted_s)
+        return max(0, allowed - kept)
--- a/libs/limits/siskinsail_limits/_rate_share.py
+++ b/libs/limits/siskinsail_limits/_rate_share.py
@@ -119,6 +119,30 @@
         self._tokens -= 1.0
         return 0.0
 
+    def tokens_until(
+        self,
+        limit: AccountLimit,
+        daemon_count: int,
+        used_s: float,
+        used_at_end_s: float,
+    ) -> int:
+        """Return how many tokens can be taken until a time.
+
+        Parameters
+        ----------
+        used_s, used_at_end_s : float
+            Seconds for which the share has been in use now, and for which it
+            will have been at that time.
+        """
+        if not allows_rate_share(self._settings, limit, daemon_count):
+            return 0
+        rate = limit.rate / daemon_count
+        tokens = 0.0
+        if used_s >= self._accrued_until_s:
+            accrued = rate * (used_s - self._accrued_until_s)
+            tokens = min(1.0, self._tokens + accrued)
+        return int(tokens + rate * (used_at_end_s - used_s))
+
 
 def allows_rate_share(
     settings: LimitSettings, limit: AccountLimit, daemon_count: int
--- a/libs/limits/siskinsail_limits/_settings.py
+++ b/libs/limits/siskinsail_limits/_settings.py
@@ -84,6 +84,9 @@
         requests at its own share of each rate, for accounts whose tolerated
         overrun allows it. It is the longest duration of a call, and exceeds
         the interval between two answers.
+    refuses_while_cut_off : bool
+        Whether a daemon that is cut off from all control members refuses
+        requests at once if no tokens are expected in their time.
     """
 
     limit_policy: LimitPolicy = LimitPolicy.LENT
@@ -105,6 +108,7 @@
     # This allows several round trips between regions.
     overrun_after_s: float = 0.15
     rate_share_after_s: float = 0.75
+    refuses_while_cut_off: bool = False
 
     def overrun(self, limit: AccountLimit) -> float:
         """Return the tokens above a limit that are tolerated in one window."""
