Derive the read timeout to control members from the call timeout

test_liveness_evidence_does_not_wait_for_an_idle_call failed once with `assert 7 == 5`. A trace of its sync calls reproduced this without any load: the fixture lets the leader hold an idle call for 5 s, but the connection of the agent has a read timeout of 2 s. It was closed 2.0 to 2.5 s after call 5 had been sent, call 5 failed, call 6 was answered at once and call 7 was open. The test needed 2.0 s to consider the daemon idle if its first look came before the leader had recorded call 5, so that the evidence was recorded just when the connection was lost.

The same happens in a deployment whose idle_poll_s is more than 2 s: each idle daemon would lose its connection every 2 s. The read timeout is now never shorter than the call timeout; with the default settings it is still 2 s.

--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -131,7 +131,12 @@
         self._metrics = metrics
         self._usage = usage
         self._finder = LeaderFinder(
-            members, network, secret, identity.vm, resolve
+            members,
+            network,
+            secret,
+            identity.vm,
+            resolve,
+            settings.read_timeout_s,
         )
         self._view = EMPTY_VIEW
         # Empty until they are needed.
--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -7,6 +7,7 @@
 from siskinsail_net import Network
 from siskinsail_net import PeerClient
 from siskinsail_net import PeerClients
+from siskinsail_net import READ_TIMEOUT_S
 from siskinsail_net import resolve_no_address
 from siskinsail_telemetry import log_event
 from siskinsail_types import Address
@@ -39,6 +40,8 @@
     resolve : callable
         Returns the peer address of a named member that is not in ``members``,
         or None if there is none.
+    read_timeout_s : float
+        Read timeout of the connections; longer than any call may take.
     """
 
     def __init__(
@@ -48,8 +51,11 @@
         secret: Secret,
         vm: VmId,
         resolve: AddressResolver = resolve_no_address,
+        read_timeout_s: float = READ_TIMEOUT_S,
     ) -> None:
-        self._clients = PeerClients(network, secret, vm, resolve)
+        self._clients = PeerClients(
+            network, secret, vm, resolve, read_timeout_s
+        )
         self.add(members)
         self._current = self.members[0]
         self._leader: VmId | None = None
--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from siskinsail_net import READ_TIMEOUT_S
+
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
 OptionalSeconds = Annotated[float, msgspec.Meta(ge=0, le=600)]
 GroupSize = Annotated[int, msgspec.Meta(ge=1, le=7)]
@@ -116,6 +118,15 @@
     duty_lease_s: OptionalSeconds = 0.0
     tick_s: Seconds = 0.05
 
+    @property
+    def read_timeout_s(self) -> float:
+        """Read timeout of the connections to the control members.
+
+        With a shorter one, a sync call that the leader holds open would be
+        taken for a lost connection.
+        """
+        return max(READ_TIMEOUT_S, self.call_timeout_s)
+
     @property
     def majority(self) -> int:
         """Number of fenced databases that a promotion requires."""
--- a/libs/net/siskinsail_net/__init__.py
+++ b/libs/net/siskinsail_net/__init__.py
@@ -32,6 +32,7 @@
 from ._peer_client import CONNECT_TIMEOUT_S as CONNECT_TIMEOUT_S
 from ._peer_client import PeerCallError as PeerCallError
 from ._peer_client import PeerClient as PeerClient
+from ._peer_client import READ_TIMEOUT_S as READ_TIMEOUT_S
 from ._peer_client import RECONNECT_DELAY_S as RECONNECT_DELAY_S
 from ._peer_clients import AddressResolver as AddressResolver
 from ._peer_clients import PeerClients as PeerClients
--- a/libs/net/siskinsail_net/_peer_clients.py
+++ b/libs/net/siskinsail_net/_peer_clients.py
@@ -12,6 +12,7 @@
 
 from ._network import Network
 from ._peer_client import PeerClient
+from ._peer_client import READ_TIMEOUT_S
 
 AddressResolver = Callable[[VmId], Address | None]
 """Returns the peer address of a daemon, None if it is unknown."""
@@ -35,6 +36,8 @@
         Name of this daemon.
     resolve : callable
         Returns the peer address of a daemon that is known by name only.
+    read_timeout_s : float
+        Read timeout of each client, in seconds.
     """
 
     def __init__(
@@ -43,11 +46,13 @@
         secret: Secret,
         vm: VmId,
         resolve: AddressResolver = resolve_no_address,
+        read_timeout_s: float = READ_TIMEOUT_S,
     ) -> None:
         self._network = network
         self._secret = secret
         self._vm = vm
         self._resolve = resolve
+        self._read_timeout_s = read_timeout_s
         self._clients: dict[VmId, PeerClient] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -64,7 +69,13 @@
         """Add a client for a daemon unless there already is one."""
         if daemon in self._clients:
             return
-        client = PeerClient(self._network, address, self._secret, self._vm)
+        client = PeerClient(
+            self._network,
+            address,
+            self._secret,
+            self._vm,
+            read_timeout_s=self._read_timeout_s,
+        )
         self._clients[daemon] = client
         if self._tasks is not None:
             self._tasks.start_soon(client.run)
