Check reads during a cut by the time of their answer

The test took each read by its start only. With a pause of 0.15 s between the connection of the caller and its request the failure was reproduced: the read that had started 10 ms before the end of the cut was answered `done` 144 ms after it, when the daemon held a lease again; all reads that were answered earlier got `lease_expired`. Which read was answered with `done` there was not recorded.

Reads that were answered before the end of the cut must still all be refused.

--- a/tests/key_callers.py
+++ b/tests/key_callers.py
@@ -27,6 +27,7 @@
     """
 
     started_s: float
+    answered_s: float
     connection: int
     code: str
     results: tuple
@@ -99,6 +100,7 @@
             code, body = 'connection_lost', {}
         reply = Reply(
             started_s,
+            CLOCK.now_s(),
             self._connections_opened,
             code,
             tuple(body.get('results', ())),
@@ -119,6 +121,18 @@
             if after_s < reply.started_s < until_s
         }
 
+    def codes_answered(self, after_s, until_s):
+        """Return the codes of requests that ran within a time range.
+
+        What holds until a time need not hold for a request that a daemon
+        receives or answers later.
+        """
+        return {
+            reply.code
+            for reply in self.replies
+            if after_s < reply.started_s and reply.answered_s < until_s
+        }
+
 
 async def add_routes(scenario):
     """Add one read route that needs a key and two that need none."""
