Admit clients beside others that pipeline requests and do not read

The trace of its ordinary requests: each one for /metrics was refused at the limit of 64 connections, for 40 s. The 64 connections belonged to clients that had sent 2,000 requests at once and read nothing. A connection became idle after an answer and busy with the next request without a suspension between, so that none was ever seen as idle. It took 32 s to fill their buffers. After that each of them waited in an answer below 16 KiB, which has no time limit, and could be replaced only after 60 s.

A connection now is idle for one pass of the event loop between two requests that arrived together. A new state tells that an answer is being sent; a connection whose client reads nothing for 5 s may be replaced. It begins anew with each piece of a long answer, so that slow readers are kept.

The new test of pipelined requests failed before (connection reset) and passes now.

--- a/libs/budget/siskinsail_budget/_connections.py
+++ b/libs/budget/siskinsail_budget/_connections.py
@@ -19,10 +19,16 @@
     IDLE = 'idle'
     IN_TRANSACTION = 'in_transaction'
     BUSY = 'busy'
+    ANSWERING = 'answering'
 
 
-# No statement runs for so long, so its client does not read the answer.
-_STALLED_S = 60.0
+# Time in a state after which a client certainly does not read its answer.
+_STALLED_S = {
+    # No statement runs for so long.
+    ConnectionState.BUSY: 60.0,
+    # The answer was written to the connection.
+    ConnectionState.ANSWERING: 5.0,
+}
 
 
 class ConnectionEntry:
@@ -131,15 +137,11 @@
 
     def find_victim(self, group: GroupName) -> ConnectionEntry | None:
         """Return the connection that a new one of a group may replace."""
-        stalled_since_s = self.now_s() - _STALLED_S
         unused = [
             entry
             for entry in self._entries
             if entry.state is ConnectionState.STARTING
-            or (
-                entry.since_s < stalled_since_s
-                and entry.state is ConnectionState.BUSY
-            )
+            or self._is_stalled(entry)
         ]
         if unused:
             return min(unused, key=lambda entry: entry.since_s)
@@ -156,5 +158,9 @@
             default=None,
         )
 
+    def _is_stalled(self, entry: ConnectionEntry) -> bool:
+        limit_s = _STALLED_S.get(entry.state, math.inf)
+        return self.now_s() - entry.since_s > limit_s
+
     def _in_state(self, state: ConnectionState) -> list[ConnectionEntry]:
         return [entry for entry in self._entries if entry.state is state]
--- a/libs/budget/tests/test_connections.py
+++ b/libs/budget/tests/test_connections.py
@@ -14,6 +14,7 @@
 STARTING = ConnectionState.STARTING
 IDLE = ConnectionState.IDLE
 BUSY = ConnectionState.BUSY
+ANSWERING = ConnectionState.ANSWERING
 IN_TRANSACTION = ConnectionState.IN_TRANSACTION
 
 
@@ -31,6 +32,8 @@
         ([('a', IN_TRANSACTION), ('b', IN_TRANSACTION)], 'c', None),
         # A statement that runs is never interrupted.
         ([('a', BUSY), ('a', BUSY)], 'b', None),
+        # Nor is an answer that the client may still read.
+        ([('a', ANSWERING), ('a', BUSY)], 'b', None),
     ],
 )
 def test_which_connection_makes_room(entries, group, closed):
@@ -50,12 +53,21 @@
     assert limit.open_connections == len(entries)
 
 
-def test_a_client_that_does_not_read_makes_room():
+@pytest.mark.parametrize(
+    ('state', 'limit_s'),
+    [
+        # The client may also wait for a long statement.
+        (BUSY, 60.0),
+        # Load: clients that do not read their answers.
+        (ANSWERING, 5.0),
+    ],
+)
+def test_a_client_that_does_not_read_makes_room(state, limit_s):
     clock = ManualClock(100.0)
     limit = ConnectionLimit(1, clock)
     was_closed = []
-    limit.admit(GroupName('a'), lambda: was_closed.append('a')).enter(BUSY)
-    clock.advance(59.0)
+    limit.admit(GroupName('a'), lambda: was_closed.append('a')).enter(state)
+    clock.advance(limit_s - 1.0)
     assert limit.admit(GroupName('b'), lambda: None) is None
     clock.advance(2.0)
     assert limit.admit(GroupName('b'), lambda: None) is not None
--- a/libs/net/siskinsail_net/_http_guard.py
+++ b/libs/net/siskinsail_net/_http_guard.py
@@ -125,6 +125,10 @@
         self._sizes.record(path, size_bytes)
         return await self._answer.resize(size_bytes * _ANSWER_COPIES)
 
+    def begin_piece(self) -> None:
+        """Record that the client has read the answer up to the next piece."""
+        self._entry.enter(ConnectionState.ANSWERING)
+
     def end_answer(self) -> None:
         """Release the memory of the request and its answer."""
         self._request.close()
--- a/libs/net/siskinsail_net/_http_server.py
+++ b/libs/net/siskinsail_net/_http_server.py
@@ -9,6 +9,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import httptools
 
 from siskinsail_budget import ProcessResources
@@ -345,6 +346,10 @@
             # are not kept while the next answer waits for memory.
             if not await self._answer_next(stream, watched, parser, guard):
                 return False
+            if parser.requests:
+                # The connection is idle meanwhile. Otherwise clients that
+                # send many requests at once would keep out all others.
+                await anyio.lowlevel.checkpoint()
         return True
 
     async def _answer_next(
@@ -374,7 +379,9 @@
             if not await guard.admit_answer(request.path, len(data)):
                 log_event('http_answer_dropped', size_bytes=len(data))
                 return False
-            await send_in_time(stream, data, self._memory.settings)
+            await send_in_time(
+                stream, data, self._memory.settings, guard.begin_piece
+            )
         finally:
             self._requests_in_progress -= 1
             guard.end_answer()
--- a/libs/net/tests/test_http.py
+++ b/libs/net/tests/test_http.py
@@ -7,8 +7,12 @@
 import contextlib
 
 import anyio
+import anyio.lowlevel
 import pytest
 
+from siskinsail_budget import BudgetSettings
+from siskinsail_budget import ProcessResources
+from siskinsail_budget import Role
 from siskinsail_net import FaultNetwork
 from siskinsail_net import FaultRule
 from siskinsail_net import FaultTable
@@ -20,6 +24,7 @@
 from siskinsail_net import write_rules
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
+from siskinsail_types import SystemClock
 
 pytestmark = pytest.mark.anyio
 LOCAL = Address('127.0.0.1', 0)
@@ -62,6 +67,39 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_pipelined_requests_do_not_keep_out_other_clients():
+    # Fails if the connections of clients that send many requests at once
+    # count as busy until the last answer.
+    network = TcpNetwork()
+    resources = ProcessResources(BudgetSettings(max_fds=1), SystemClock())
+    limit = resources.limits[Role.OPERATORS]
+    server = HttpServer(
+        network, _describe_request, _bad_request, resources=resources
+    )
+    answered = 0
+
+    async def read_on(stream):
+        nonlocal answered
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            while True:
+                answered += (await stream.receive()).count(b'{')
+
+    async with anyio.create_task_group() as tasks:
+        local = await tasks.start(server.serve, LOCAL)
+        for _ in range(int(limit.max_connections)):
+            stream = await network.connect(local, 1)
+            tasks.start_soon(stream.send, b'GET /a HTTP/1.1\r\n\r\n' * 50_000)
+            tasks.start_soon(read_on, stream)
+        with anyio.fail_after(5):
+            while answered < limit.max_connections * 10:
+                await anyio.lowlevel.checkpoint()
+            client = await HttpClientConnection.connect(network, local, 1)
+            response = await client.request('GET', '/b', timeout_s=5)
+        assert response.status == 200
+        assert limit.refused == 0
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_timed_out_request_closes_its_connection():
     async def respond_late(request: HttpRequest) -> HttpResponse:
         await anyio.sleep(30)
