Log connections that are reset before they are served

A connection that its client has reset when it is wrapped was closed without a trace, so that a test of late orders could not tell whether its order arrived. The first of these connections and each 100th after it is logged as accepted_connection_lost.

--- a/libs/net/siskinsail_net/_accept.py
+++ b/libs/net/siskinsail_net/_accept.py
@@ -12,12 +12,15 @@
 from siskinsail_lifecycle import PhaseWaits
 from siskinsail_lifecycle import StopPhase
 from siskinsail_telemetry import log_event
+from siskinsail_telemetry import Sampler
 
 # Pause after a failed acceptance. The listener stays readable meanwhile, so
 # that without a pause the loop would spin.
 _ACCEPT_RETRY_S = 1.0
 # Pause of a server at its limit, so that closed connections make room.
 _FULL_PAUSE_S = 0.01
+# One line for this many connections that are lost before they are served.
+_LOST_LOG_INTERVAL = 100
 
 ConnectionHandler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
 
@@ -83,15 +86,12 @@
         the kernel.
     """
     raw_socket = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+    lost_sampler = Sampler(_LOST_LOG_INTERVAL)
 
     async def serve(accepted: socket.socket) -> None:
         try:
-            try:
-                stream = await anyio.abc.SocketStream.from_socket(accepted)
-            except (OSError, ValueError):
-                # The peer reset the connection before it was wrapped; anyio
-                # raises ValueError for a socket that is not connected.
-                accepted.close()
+            stream = await _wrap(accepted, lost_sampler)
+            if stream is None:
                 return
             stop_reading_ahead(stream)
             await handle(stream)
@@ -131,6 +131,20 @@
         count.stop_listening()
 
 
+async def _wrap(
+    accepted: socket.socket, lost_sampler: Sampler
+) -> anyio.abc.SocketStream | None:
+    """Return the stream of a connection, None if the peer has reset it."""
+    try:
+        return await anyio.abc.SocketStream.from_socket(accepted)
+    except (OSError, ValueError) as error:
+        # anyio raises ValueError for a socket that is not connected.
+        accepted.close()
+        if lost_sampler.should_log():
+            log_event('accepted_connection_lost', reason=str(error))
+        return None
+
+
 def stop_reading_ahead(stream: anyio.abc.SocketStream) -> None:
     """Let a stream read from its connection only while it is asked to.
 
--- a/libs/net/tests/test_accept.py
+++ b/libs/net/tests/test_accept.py
@@ -12,6 +12,7 @@
 import time
 
 import anyio
+import eliot
 import pytest
 
 from siskinsail_lifecycle import GracefulStop
@@ -149,9 +150,19 @@
     assert min(pauses_s) >= PAUSE_S - TIMER_RESOLUTION_S
 
 
-async def test_a_connection_that_is_reset_at_once_does_not_end_the_server():
+@pytest.fixture
+def events():
+    events = []
+    eliot.add_destinations(events.append)
+    yield events
+    eliot.remove_destination(events.append)
+
+
+async def test_a_connection_that_is_reset_at_once_does_not_end_the_server(
+    events,
+):
     # Fails if a connection that is no longer connected when it is wrapped
-    # ends the task group of all connections.
+    # ends the task group of all connections, or is dropped without a trace.
     server = HttpServer(TcpNetwork(), _answer, _refuse)
     async with anyio.create_task_group() as tasks:
         address = await tasks.start(server.serve, LOCAL)
@@ -164,3 +175,5 @@
         client = _connect_waiting(address)
         assert b' 200 ' in await _receive(client)
         tasks.cancel_scope.cancel()
+    types = [event['message_type'] for event in events]
+    assert types.count('accepted_connection_lost') == 1
