Give up connections when the grace time ends

Cause: a daemon that was cut off kept one connection to each database for registration_s, and the leader withheld as many, although the daemon can use them only for reads that need no lease.

Change: with connections_by_demand, daemon and leader apply one rule (retained_connections): none after the lease and grace_s; the leader adds lease_margin_s. The leader limits what a late call reports to what the daemon may still hold, also without connections_by_demand; otherwise the sum of bounds exceeded the total. Reads that need no lease do not wait for a connection that cannot come: queues are rerouted when the allowance ends, and reads are refused as not run.

--- a/libs/backend/siskinsail_backend/_account_pool.py
+++ b/libs/backend/siskinsail_backend/_account_pool.py
@@ -261,10 +261,16 @@
         self._serve_queue()
 
     def check_allowance(self) -> None:
-        """Close excess idle connections and serve the queue."""
+        """Close excess idle connections and serve the queue.
+
+        Without an allowance, requests that wait choose a database again in
+        the same way as new ones.
+        """
         while self._idle and self._excess > 0:
             self._discard(next(iter(self._idle)))
-        if len(self._waiting):
+        if not self.can_serve:
+            self.reroute_waiters()
+        elif len(self._waiting):
             self._serve_queue()
 
     async def run(self) -> None:
--- a/libs/backend/siskinsail_backend/_pool.py
+++ b/libs/backend/siskinsail_backend/_pool.py
@@ -131,8 +131,12 @@
 
     @property
     def can_serve(self) -> bool:
-        """Whether the pool is open and has connections."""
-        return not self._is_closed and bool(self._idle or self._in_use)
+        """Whether the pool is open and has connections to keep."""
+        return (
+            not self._is_closed
+            and self._applied_allowance > 0
+            and bool(self._idle or self._in_use)
+        )
 
     @property
     def expected_wait_s(self) -> float:
@@ -325,7 +329,11 @@
         return self._pacer.allowed_attempts(missing, self._connecting)
 
     def _discard_excess(self) -> None:
+        earlier_allowance = self._applied_allowance
         self._applied_allowance = self._allowed()
+        if earlier_allowance and not self._applied_allowance:
+            # All connections are closed on release, so none would be granted.
+            self.reroute_waiters()
         # Connections being closed count as open until they are closed.
         allowed = self._applied_allowance + len(self._closing)
         while self._idle and self.open_connections > allowed:
--- a/libs/backend/siskinsail_backend/_replica_chooser.py
+++ b/libs/backend/siskinsail_backend/_replica_chooser.py
@@ -194,6 +194,14 @@
                 )
         return candidates
 
+    def may_connect(self, view: View, service: ServiceId) -> bool:
+        """Tell whether a replica has connections or may get some."""
+        return any(
+            pool.is_active
+            for server in view.group_members.get(service, ())
+            if (pool := self._pools.pool(server.database)) is not None
+        )
+
     def have_all_passed(
         self, view: View, service: ServiceId, position: Position
     ) -> bool:
--- a/libs/backend/tests/test_account_pool.py
+++ b/libs/backend/tests/test_account_pool.py
@@ -215,6 +215,29 @@
         assert await acquire_connection(pool) is held[2]
 
 
+async def test_waiting_requests_are_rerouted_when_the_allowance_ends():
+    """Guards against requests that wait for a connection that cannot come.
+
+    A daemon gives up all connections after its lease. What waits in a queue
+    then has to be refused or to go to another daemon at once.
+    """
+    async with new_pool(allowed=1) as (pool, database, tasks):
+        held = await acquire_connection(pool)
+        results = []
+
+        async def acquire_next():
+            results.append(await pool.acquire(new_waiter(timeout_s=60.0)))
+
+        tasks.start_soon(acquire_next)
+        await wait_until(lambda: pool.waiting == 1)
+        database.allowed = 0
+        pool.check_allowance()
+        await wait_until(lambda: results)
+        assert isinstance(results[0].failure(), PoolClosedError)
+        pool.release(held)
+        await wait_until(lambda: held.is_closed)
+
+
 async def test_request_is_rerouted_without_an_allowance():
     async with new_pool(allowed=0) as (pool, _, _):
         acquired = await pool.acquire(new_waiter())
--- a/libs/backend/tests/test_pool.py
+++ b/libs/backend/tests/test_pool.py
@@ -326,6 +326,32 @@
         assert isinstance(results[0].failure(), PoolClosedError)
 
 
+async def test_waiters_are_rerouted_when_the_allowance_ends():
+    """Guards against reads that wait for a connection that cannot come.
+
+    The connections in use are closed on release, so a pool without an
+    allowance grants none of them.
+    """
+    async with new_pool() as (pool, _, ports):
+        held = [(await pool.acquire(new_waiter())).unwrap() for _ in range(2)]
+        results = []
+
+        async def acquire_next():
+            waiter = Waiter('a', 1.0, CLOCK.now_s() + 60.0)
+            results.append(await pool.acquire(waiter))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(acquire_next)
+            await wait_until(lambda: pool.waiting)
+            ports.allowed = 0
+            pool.check_allowance()
+            await wait_until(lambda: results)
+        assert isinstance(results[0].failure(), PoolClosedError)
+        assert not pool.can_serve
+        for connection in held:
+            pool.release(connection)
+
+
 async def test_refused_connections_do_not_displace_accepted_ones():
     """Guards against requests that get only connections that are refused."""
     async with new_pool() as (pool, database, ports):
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -54,6 +54,7 @@
 from ._messages import UsageEntry
 from ._metrics import ControlMetrics
 from ._observations import DatabaseObservations
+from ._retention import retained_connections
 from ._settings import ControlSettings
 from ._view_log import apply_delta
 from ._view_log import decode_delta
@@ -61,7 +62,7 @@
 from ._view_parts import view_digests
 
 URGENT_REPORT_INTERVAL_S = 0.05
-# Without a lease, allowances are reduced after much longer times.
+# A lease that is granted in the meantime is noticed after this time.
 LAPSED_CHECK_INTERVAL_S = 0.25
 LEAVE_TIMEOUT_S = 1.0
 
@@ -449,22 +450,33 @@
         self._was_lease_held = is_held
 
     async def _watch_lease_end(self) -> None:
-        """Have the pools close connections as soon as the lease has ended."""
+        """Have the pools close connections when the lease has ended.
+
+        They do so at the end of the lease, at the end of the retention after
+        it, and at intervals.
+        """
         while True:
             remaining_s = self._lease_end_s - self._clock.now_s()
             if remaining_s > 0:
                 await anyio.sleep(remaining_s)
                 continue
             self._allowances.notify_usage()
-            await anyio.sleep(LAPSED_CHECK_INTERVAL_S)
+            await anyio.sleep(self._lapsed_check_s)
+
+    @property
+    def _lapsed_check_s(self) -> float:
+        """Time until allowances are checked again without a lease."""
+        retention_s = self._settings.connection_retention_s
+        remaining_s = retention_s - self.time_since_lease_s
+        if 0 < remaining_s < LAPSED_CHECK_INTERVAL_S:
+            return remaining_s
+        return LAPSED_CHECK_INTERVAL_S
 
     def _reduce_allowances(self) -> None:
         """Reduce allowances after the lease in the same way as the leader."""
         gap_s = self.time_since_lease_s
-        if gap_s >= self._settings.registration_s:
-            self._allowances.limit(0)
-        elif gap_s > 0:
-            self._allowances.limit(1)
+        if gap_s > 0:
+            self._allowances.limit(retained_connections(self._settings, gap_s))
 
     async def _borrow(self, reports: list[LoanReport]) -> list[LoanGrant]:
         term, registration = self._leader_term, self._registration_sequence
--- a/libs/control/siskinsail_control/_connection_lender.py
+++ b/libs/control/siskinsail_control/_connection_lender.py
@@ -57,7 +57,9 @@
     that it applied the smaller allowance and closed the connections above it,
     or when its lease has ended. After the end of its lease a daemon keeps at
     most one connection to each database, for reads that need no lease, until
-    it is deregistered.
+    it is deregistered or, with ``connections_by_demand``, its grace time ends
+    (``retained_connections``). A daemon applies this rule by its own clock,
+    the leader by its later clock and margin.
 
     The sum also includes what registered daemons may hold that have not
     called this leader (awaited daemons). Connections are withheld for them,
@@ -65,7 +67,7 @@
     within the total. Two limits hold for the connections of the awaited
     daemons once the leases of earlier leaders have ended:
 
-    - each daemon holds at most one;
+    - each daemon holds at most one, and none after the time of retention;
     - together they hold at most the total less what the other daemons
       reported in their first calls. All of these were lent by earlier
       leaders, which lent at most the total, and nobody lends between two
@@ -74,9 +76,11 @@
 
     The smaller limit is withheld, so the sum stays within the total after
     any number of changes of the leader. This assumes that the total was not
-    lowered since an earlier leader lent, and that the connections that an
-    earlier leader lent from the reserve were given back before this leader
-    lends from it.
+    lowered since an earlier leader lent, and that earlier leaders left the
+    reserve that this leader lends before lending begins. With
+    ``connections_by_demand``, a bound is therefore raised into the reserve
+    only by ``lend_reserve``. Without it, connections that move between daemons
+    may use the reserve until the daemons that give them up have called.
 
     Parameters
     ----------
@@ -92,8 +96,9 @@
         self._pools: dict[DatabaseId, _Pool] = {}
         # Databases whose targets must be computed again.
         self._databases_to_rebalance: set[DatabaseId] = set()
-        # Daemons whose connections were reclaimed at the end of their lease.
-        self._lapsed: set[DaemonKey] = set()
+        # Daemons whose connections were reclaimed at the end of their lease,
+        # with the number that they may keep to each database.
+        self._lapsed: dict[DaemonKey, int] = {}
         # Number of registered daemons that have not called this leader.
         self._awaited_count = 0
         # Daemons that have called, and those of them that may hold leases, in
@@ -110,7 +115,7 @@
         self._demand_drop_s: dict[tuple[DatabaseId, DaemonKey], float] = {}
 
     def set_registered(self, daemons: frozenset[DaemonKey]) -> None:
-        """Set the registered daemons.
+        """Set the registered daemons that may hold connections.
 
         Connections are withheld for those that have not called this leader,
         since they may still hold them.
@@ -168,22 +173,33 @@
         """Return whether connections were reclaimed after a lease ended."""
         return daemon in self._lapsed
 
-    def reclaim(self, daemon: DaemonKey) -> None:
-        """Reclaim all but one connection to each database after a lease."""
-        if daemon in self._lapsed or daemon not in self._reporting_daemons:
+    def reclaim(self, daemon: DaemonKey, retained: int = 1) -> None:
+        """Reclaim connections after the end of a lease.
+
+        Parameters
+        ----------
+        retained : int
+            Number of connections to each database that the daemon may keep.
+        """
+        if daemon not in self._reporting_daemons:
             return
-        self._lapsed.add(daemon)
-        self._update_lending_order()
+        earlier_retained = self._lapsed.get(daemon)
+        if earlier_retained == retained:
+            return
+        self._lapsed[daemon] = retained
+        if earlier_retained is None:
+            self._update_lending_order()
         for database in self._databases_by_daemon[daemon]:
             allocation = self._get_allocation(database, daemon)
-            self._set_bound(database, allocation, min(allocation.bound, 1))
+            bound = min(allocation.bound, retained)
+            self._set_bound(database, allocation, bound)
 
     def remove(self, daemon: DaemonKey) -> None:
         """Reclaim all connections of a daemon that is deregistered."""
         if daemon not in self._reporting_daemons:
             return
         self._reporting_daemons.discard(daemon)
-        self._lapsed.discard(daemon)
+        self._lapsed.pop(daemon, None)
         self._needs_all_allowances.discard(daemon)
         self._unsent_databases.pop(daemon)
         for database in self._databases_by_daemon.pop(daemon):
@@ -312,13 +328,15 @@
 
     def _add_daemon(self, daemon: DaemonKey) -> None:
         self._reporting_daemons.add(daemon)
-        self._lapsed.discard(daemon)
+        self._lapsed.pop(daemon, None)
         self._databases_by_daemon.setdefault(daemon, set())
         self._unsent_databases.setdefault(daemon, set())
         self._update_lending_order()
 
     def _update_lending_order(self) -> None:
-        self._lending_order = sorted(self._reporting_daemons - self._lapsed)
+        self._lending_order = sorted(
+            self._reporting_daemons - self._lapsed.keys()
+        )
         self._databases_to_rebalance.update(self._pools)
 
     def _record_demand(
@@ -361,11 +379,12 @@
         pool = self._pools[database]
         retained = sum(
             pool.allocations[daemon].bound
-            for daemon in pool.allocations.keys() & self._lapsed
+            for daemon in pool.allocations.keys() & self._lapsed.keys()
         )
         total = self._target_total(pool) - retained
         targets = self._compute_targets(database, max(0, total))
-        for daemon in targets.keys() | pool.allocations.keys() - self._lapsed:
+        active = pool.allocations.keys() - self._lapsed.keys()
+        for daemon in targets.keys() | active:
             allocation = self._get_allocation(database, daemon)
             allocation.target = targets.get(daemon, 0)
             if self._compute_allowance(pool, allocation) != allocation.lent:
@@ -454,15 +473,14 @@
         return targets
 
     def _compute_allowance(self, pool: _Pool, allocation: _Allocation) -> int:
-        held_by_others = pool.bound - allocation.bound
+        unlent = pool.total - pool.bound - self._withheld(pool)
+        if self._settings.connections_by_demand:
+            unlent = min(unlent, self._lendable_total(pool.total) - pool.bound)
         # The reserve that was lent may leave less than should be withheld.
         # Only targets then reduce bounds: all daemons would otherwise give up
         # connections for the same excess.
-        withheld = min(self._withheld(pool), max(0, pool.total - pool.bound))
-        return max(
-            0,
-            min(allocation.target, pool.total - held_by_others - withheld),
-        )
+        unlent = max(unlent, min(0, pool.total - pool.bound))
+        return max(0, min(allocation.target, allocation.bound + unlent))
 
 
 def shares_by_demand(total: int, demands: list[int]) -> list[int]:
--- a/libs/control/siskinsail_control/_daemon_table.py
+++ b/libs/control/siskinsail_control/_daemon_table.py
@@ -11,6 +11,7 @@
 from siskinsail_types import DataCentreId
 from siskinsail_types import VmId
 
+from ._retention import retained_connections
 from ._settings import ControlSettings
 from ._state import DaemonKey
 
@@ -209,6 +210,24 @@
             end_s = record.lease_end_s
         return self._clock.now_s() - end_s
 
+    def retained_connections(self, key: DaemonKey) -> int | None:
+        """Return how many connections to each database a daemon may keep.
+
+        Returns
+        -------
+        int or None
+            None while the daemon may hold a lease, since it may then keep all
+            that it was lent.
+        """
+        time_without_lease_s = self.time_without_lease_s(key)
+        if time_without_lease_s < 0:
+            return None
+        return retained_connections(
+            self._settings,
+            time_without_lease_s,
+            self._settings.lease_margin_s,
+        )
+
     def record_process_end(self, key: DaemonKey) -> None:
         """Record that the process of a daemon has ended.
 
--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -40,6 +40,7 @@
 from ._messages import Status
 from ._messages import SyncAnswer
 from ._messages import SyncRequest
+from ._retention import limit_reports
 from ._state import DaemonKey
 from ._takeover import Takeover
 from ._usage_reporting import UsageDuty
@@ -157,6 +158,7 @@
             # The lease ended before the call, so the connections that it does
             # not report have been reclaimed.
             return self._status_answer(Status.NOT_REGISTERED)
+        retained = self._daemon_table.retained_connections(key)
         record = self._daemon_table.record_call(
             key, request.data_centre, request.sequence, request.view_version
         )
@@ -180,7 +182,10 @@
         if self._usage is not None:
             self._usage.record(process_name(key), request)
         self._connection_lender.report(
-            key, request.connections, changes_only=request.changes_only
+            key,
+            # A call that took long may report what was given up since then.
+            limit_reports(request.connections, retained),
+            changes_only=request.changes_only,
         )
         grants = self._token_lender.process_reports(
             process_name(key), list(request.reports)
@@ -508,10 +513,16 @@
             self._context.publish()
 
     def _update_connection_lending(self) -> None:
-        for record in self._daemon_table.records:
-            if self._daemon_table.time_without_lease_s(record.key) >= 0:
-                self._connection_lender.reclaim(record.key)
-        self._connection_lender.set_registered(self._context.state.daemons)
+        retained = {
+            key: self._daemon_table.retained_connections(key)
+            for key in self._context.state.daemons
+        }
+        for key, count in retained.items():
+            if count is not None:
+                self._connection_lender.reclaim(key, count)
+        self._connection_lender.set_registered(
+            frozenset(key for key, count in retained.items() if count != 0)
+        )
         self._connection_lender.rebalance()
         for record in self._daemon_table.leased:
             if self._has_allowance_update(record.key):
--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -65,9 +65,11 @@
         their earlier processes; each daemon gets one connection before
         the reserve is set aside
     connections_by_demand : bool
-        lend connections to daemons with demand first; without this, each
-        daemon first gets one, so that it can serve its first request without
-        a call, which is not needed where daemons forward statements
+        lend connections to daemons with demand first, and have daemons give
+        up all connections when the grace time ends; without this, each daemon
+        first gets one, so that it can serve its first request without a call,
+        which is not needed where daemons forward statements, and keeps one
+        until it is deregistered
     equal_connection_shares : bool
         divide connections equally, regardless of demand (baseline)
     view_digests : bool
@@ -104,7 +106,8 @@
     admin_timeout_s: Seconds = 0.5
     group_size: GroupSize = 3
     # Until then an isolated daemon keeps one connection to each database for
-    # reads on public routes, which allow an age of a few minutes at most.
+    # reads on public routes, which allow an age of a few minutes at most. With
+    # connections_by_demand it keeps them only until the grace time ends.
     registration_s: Seconds = 300.0
     # Twice the period of a token loan, so that every loan has expired.
     suspend_s: Seconds = 10.0
@@ -116,6 +119,13 @@
     duty_lease_s: OptionalSeconds = 0.0
     tick_s: Seconds = 0.05
 
+    @property
+    def connection_retention_s(self) -> float:
+        """Time after a lease for which a daemon keeps connections."""
+        if self.connections_by_demand:
+            return self.grace_s
+        return self.registration_s
+
     @property
     def majority(self) -> int:
         """Number of fenced databases that a promotion requires."""
--- a/libs/control/tests/test_fleet.py
+++ b/libs/control/tests/test_fleet.py
@@ -295,6 +295,81 @@
     await wait_until(lambda: sum(allowed()) == 9)
 
 
+async def _start_fleet_by_demand(tasks, **times) -> Fleet:
+    settings = ControlSettings(connections_by_demand=True, **times)
+    fleet = Fleet(tasks, settings)
+    await fleet.start_member('m0')
+    await fleet.start_member('m1')
+    fleet.log.elect('m0')
+    return fleet
+
+
+async def test_connections_are_given_up_when_the_grace_time_ends():
+    """Guards against an agent and a leader that apply different rules.
+
+    The leader lends all connections of a daemon that is gone, after the time
+    when the daemon itself has given them up.
+    """
+    async with anyio.create_task_group() as tasks:
+        fleet = await _start_fleet_by_demand(tasks, lease_s=1.0, grace_s=0.5)
+        agent, other = await _start_agents(fleet, 'a', 'b')
+        service = ServiceEntry(owner='o', name='s', slots=5, connections=30)
+        await apply(agent, 'r', service)
+        for usage in fleet.usages.values():
+            usage.wanted_counts['db'] = 10
+
+        def allowed(one) -> int:
+            for announcing in fleet.agents.values():
+                announcing.record_announcement(_backend_server('db'))
+            return one.allowed_connections('db')
+
+        await wait_until(lambda: allowed(agent) == allowed(other) == 5)
+        fleet.kill('b')
+        held = []
+
+        def has_given_up() -> bool:
+            assert allowed(agent) + other.allowed_connections('db') <= 10
+            held.append((other.lease_state, other.allowed_connections('db')))
+            return allowed(agent) == 10
+
+        await wait_until(has_given_up)
+        assert set(held) == {
+            (LeaseState.HELD, 5),
+            (LeaseState.GRACE, 1),
+            (LeaseState.LAPSED, 0),
+        }
+        tasks.cancel_scope.cancel()
+
+
+async def test_daemons_that_never_call_a_new_leader_keep_no_connections():
+    """Guards against connections that are withheld for a long partition."""
+    async with anyio.create_task_group() as tasks:
+        fleet = await _start_fleet_by_demand(tasks, lease_s=1.0, grace_s=0.5)
+        vms = [f'vm{number}' for number in range(6)]
+        agents = await _start_agents(fleet, *vms)
+        service = ServiceEntry(owner='o', name='s', slots=5, connections=30)
+        await apply(agents[0], 'r', service)
+        fleet.usages['vm0'].wanted_counts['db'] = 10
+        for vm in vms[1:]:
+            fleet.kill(vm)
+        fleet.log.elect('m1')
+
+        def allowed() -> int:
+            agents[0].record_announcement(_backend_server('db'))
+            return agents[0].allowed_connections('db')
+
+        await wait_until(lambda: allowed() == 10)
+        # They are still registered.
+        assert len(fleet.log.states[1].daemons) == 6
+        # A daemon that returns gets connections with its first answers.
+        returned = fleet.start_agent('vm1')
+        fleet.usages['vm1'].wanted_counts['db'] = 10
+        await wait_until(
+            lambda: allowed() == 5 == returned.allowed_connections('db')
+        )
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_silence_counts_from_the_last_answer_that_arrived(fleet):
     # Fails if the lender counts a lost answer. It would then reserve less of
     # the rates than the daemon uses without calling.
--- a/libs/proxy/siskinsail_proxy/_reads.py
+++ b/libs/proxy/siskinsail_proxy/_reads.py
@@ -111,7 +111,9 @@
                     context, view, _RETRY_PAUSE_S
                 )
                 continue
-            if is_last_round:
+            if is_last_round or not self._chooser.may_connect(
+                view, route.service
+            ):
                 return Failure(
                     context.error(
                         ErrorCode.NO_REPLICA,
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -9,6 +9,7 @@
 from siskinsail_types import Clock
 from siskinsail_types import DatabaseId
 from siskinsail_types import EvidenceSink
+from siskinsail_types import LeaseState
 from siskinsail_types import RequestError
 from siskinsail_types import ServiceId
 from siskinsail_usage import UsageCounter
@@ -204,6 +205,10 @@
         while True:
             is_busy = False
             targets = self._targets(operation, needs_primary)
+            if not (targets or needs_primary) and self._waits_in_vain(
+                operation
+            ):
+                return Failure(last_error or _no_database_error())
             for target in targets:
                 if (
                     target.pool.database in unanswered
@@ -236,6 +241,16 @@
                 return Failure(last_error or _no_database_error())
             await self._pause(busy_rounds)
 
+    def _waits_in_vain(self, operation: Operation) -> bool:
+        """Tell whether a read that needs no lease can get no connection.
+
+        A daemon whose lease has lapsed gets none before its next lease.
+        """
+        return (
+            operation.read_bound is not None
+            and self._views.lease_state is LeaseState.LAPSED
+        )
+
     def _handle_read_failure(
         self, target: DatabaseTarget, error: AttemptError
     ) -> tuple[StatementError, bool]:
--- a/libs/statements/tests/test_reads.py
+++ b/libs/statements/tests/test_reads.py
@@ -1,13 +1,18 @@
 """Choice of the databases for reads, and the consistency of reads."""
 
 import anyio
+import msgspec
 import pytest
+from statement_group import entries
 from statement_group import new_group
 
+from siskinsail_catalogue import RouteEntry
+from siskinsail_catalogue import SessionPolicy
 from siskinsail_statements import Begin
 from siskinsail_statements import Commit
 from siskinsail_statements import Query
 from siskinsail_statements import StatementErrorCode
+from siskinsail_types import Consistency
 from siskinsail_types import LeaseState
 
 pytestmark = pytest.mark.anyio
@@ -137,6 +142,42 @@
         assert len(group.executed) == 2
 
 
+async def test_a_read_without_connections_ends_with_the_lease():
+    """Guards against a read that waits for a connection that cannot come.
+
+    Without the lease and without connections or holders, the read has not run
+    and none can come before its deadline.
+    """
+    async with new_group(lease_wait_s=0.05) as group:
+        policy = SessionPolicy(Consistency.BOUNDED, 60.0, 0.5, 60.0)
+        group.views.change(
+            entries=tuple(
+                msgspec.structs.replace(entry, session_policy=policy)
+                if isinstance(entry, RouteEntry)
+                else entry
+                for entry in entries()
+            )
+        )
+        session = await group.open('bounded')
+        await served_by(group, session, READ)
+        group.connections = 0
+        replies = []
+
+        async def read():
+            replies.append(await session.execute('r', READ))
+
+        group.tasks.start_soon(read)
+        with anyio.fail_after(10):
+            await anyio.wait_all_tasks_blocked()
+            assert not replies
+            group.views.lease_state = LeaseState.LAPSED
+            group.views.change()
+            while not replies:
+                await anyio.sleep(0.005)
+        assert replies[0].error.code is StatementErrorCode.BUSY
+        assert group.executed[1:] == []
+
+
 async def test_status_queries_keep_reads_on_replicas():
     # There are no writes, so no reply of the primary provides a sample.
     async with new_group(sample_age_s=0.2) as group:
