Relay control calls of daemons that reach no leader

A daemon that got no answer from any control member lost its lease, tokens and connections, although it could reach daemons that reach the leader. With relays_control_calls, it asks daemons of its view to pass on its sync, borrow and report calls, and calls the members itself until one answers as leader.

PeerClients can remove a client. The order by rendezvous hashing moves from the holders to the catalogue, where both parts use it.

--- a/libs/catalogue/siskinsail_catalogue/__init__.py
+++ b/libs/catalogue/siskinsail_catalogue/__init__.py
@@ -25,6 +25,8 @@
 from ._entry import ServiceEntry as ServiceEntry
 from ._entry import SessionPolicy as SessionPolicy
 from ._key_digest import key_digest as key_digest
+from ._ranking import hash_bytes as hash_bytes
+from ._ranking import rank_daemons as rank_daemons
 from ._server_check import check_backend_server as check_backend_server
 from ._server_check import MAX_NAME_LENGTH as MAX_NAME_LENGTH
 from ._state import CatalogueState as CatalogueState
--- a/libs/control/siskinsail_control/__init__.py
+++ b/libs/control/siskinsail_control/__init__.py
@@ -30,6 +30,7 @@
 from ._messages import Announcement as Announcement
 from ._messages import OperatorAnswer as OperatorAnswer
 from ._messages import OperatorRequest as OperatorRequest
+from ._messages import RELAY_METHOD as RELAY_METHOD
 from ._messages import ReportRequest as ReportRequest
 from ._metrics import ControlMetrics as ControlMetrics
 from ._operator_api import OperatorApi as OperatorApi
@@ -37,6 +38,7 @@
 from ._orders import OrderClient as OrderClient
 from ._orders import Sender as Sender
 from ._orders import SenderGoneError as SenderGoneError
+from ._relay_service import RelayService as RelayService
 from ._replica_port import ControlReplica as ControlReplica
 from ._service import ControlService as ControlService
 from ._settings import ControlSettings as ControlSettings
--- a/libs/control/siskinsail_control/_agent.py
+++ b/libs/control/siskinsail_control/_agent.py
@@ -34,9 +34,10 @@
 from siskinsail_usage import WindowId
 
 from ._allowances import Allowances
+from ._control_calls import ControlCalls
 from ._leader_client import forward_request
 from ._leader_client import RETRY_DELAY_S
-from ._leader_finder import LeaderFinder
+from ._leader_connection import LeaderConnection
 from ._loan_ports import TokenBorrower
 from ._messages import Balance
 from ._messages import BORROW_METHOD
@@ -130,8 +131,15 @@
         self._borrower = borrower
         self._metrics = metrics
         self._usage = usage
-        self._finder = LeaderFinder(
-            members, network, secret, identity.vm, resolve
+        self._calls = ControlCalls(
+            settings,
+            identity.vm,
+            members,
+            network,
+            secret,
+            clock,
+            metrics,
+            resolve,
         )
         self._view = EMPTY_VIEW
         # Empty until they are needed.
@@ -144,7 +152,6 @@
         self._sequence = 0
         self._answered_sequence = 0
         self._needs_full_view = False
-        self._is_redirected = False
         # Whether the leader answered the last call and so has its reports.
         self._is_last_call_answered = False
         self._is_ready: Callable[[], bool] = lambda: False
@@ -161,12 +168,23 @@
     @property
     def leader(self) -> VmId | None:
         """The control leader, None if it is not known."""
-        return self._finder.leader
+        return self._calls.finder.leader
 
     @property
     def control_members(self) -> tuple[VmId, ...]:
         """Names of the control members."""
-        return self._finder.members
+        return self._calls.finder.members
+
+    @property
+    def leader_connection(self) -> LeaderConnection | None:
+        """Connection for the calls of other daemons.
+
+        None unless this daemon holds a lease and the leader answered its last
+        call, without a relay.
+        """
+        if self.lease_state is not LeaseState.HELD:
+            return None
+        return self._calls.leader_connection
 
     @property
     def view(self) -> View:
@@ -208,7 +226,7 @@
 
     def add_members(self, members: Mapping[VmId, Address]) -> None:
         """Add control members."""
-        self._finder.add(members)
+        self._calls.finder.add(members)
 
     def record_announcement(self, server: BackendServer) -> None:
         """Record an announcement that a database sent to this daemon."""
@@ -228,7 +246,7 @@
         After ``stop`` only the connections to the members are kept open.
         """
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._finder.run)
+            tasks.start_soon(self._calls.run)
             tasks.start_soon(self._send_urgent_reports)
             tasks.start_soon(self._watch_lease_end)
             with self._sync_scope:
@@ -239,13 +257,17 @@
     async def stop(self) -> None:
         """Release the lease, the connections and the tokens."""
         self._sync_scope.cancel()
+        self._calls.end_relaying()
         self._lease_end_s = -math.inf
         self._allowances.replace({})
         self._borrower.return_all()
         request = self._build_request(leaving=True)
         # A leader that does not receive this call waits until the lease ends.
-        with anyio.move_on_after(LEAVE_TIMEOUT_S):
-            await self._call_sync(request)
+        with (
+            anyio.move_on_after(LEAVE_TIMEOUT_S),
+            contextlib.suppress(SiskinsailError),
+        ):
+            await self._calls.call(SYNC_METHOD, encode_message(request))
         self._leader_term = 0
 
     async def forward(
@@ -253,43 +275,36 @@
     ) -> OperatorAnswer | SiskinsailError:
         """Forward an operator request; see ``forward_request``."""
         return await forward_request(
-            self._finder, self._clock, request, timeout_s
+            self._calls.finder, self._clock, request, timeout_s
         )
 
     async def _sync(self) -> bool:
         """Make a sync call; return whether to call again without a pause."""
         self._log_lease_change()
-        if not await self._finder.wait_any_connected(
-            self._settings.call_timeout_s
-        ):
+        path = await self._calls.choose_path()
+        if path is None:
             return False
-        self._finder.prefer_connected()
-        client = self._finder.client
         request = self._build_request()
         # Taken after the request was built: grants of calls sent before a
         # registration are ignored, and the answer to the registration itself
         # brings the first tokens.
         sent_s = self._clock.now_s()
         answer = await self._call_sync(request)
-        was_redirected, self._is_redirected = self._is_redirected, False
         if answer is None:
-            self._finder.record_failure(client)
-            return False
+            return self._calls.record_failure(path)
         if answer.status is Status.NOT_REGISTERED:
+            self._calls.record_not_registered(path)
             # Register at once, since requests may be waiting for tokens. Only
             # a refused registration is repeated after a pause.
             was_registered = self._leader_term != 0
             self._leader_term = 0
             return was_registered
         if answer.status is not Status.OK:
-            is_named = self._finder.record_refusal(client, answer.leader)
-            # Two members that name each other must not cause a busy loop.
-            self._is_redirected = is_named and not was_redirected
-            return self._is_redirected
+            return self._calls.record_refusal(path, answer)
         if not self._apply_view_delta(answer.view):
             return False
         self._observations.mark_delivered(sent_s)
-        self._finder.record_leader(client)
+        self._calls.record_leader(path)
         self._answered_sequence = request.sequence
         self._apply_answer(answer, sent_s)
         self._is_last_call_answered = True
@@ -299,9 +314,7 @@
         payload = encode_message(request)
         self._metrics.sent_bytes.labels(SYNC_METHOD).inc(len(payload))
         try:
-            answer = await self._finder.client.call(
-                SYNC_METHOD, payload, self._settings.call_timeout_s
-            )
+            answer = await self._calls.sync(SYNC_METHOD, payload)
             return decode_message(SyncAnswer, answer)
         except SiskinsailError:
             return None
@@ -404,6 +417,7 @@
         if view.catalogue_version != self._view.catalogue_version:
             self._borrower.set_limits(view.accounts)
         self._view = view
+        self._calls.set_daemons(view.daemons)
         self._view_digests = b''
         self._metrics.view_version.set(view.version)
         self._view_changed.set()
@@ -423,7 +437,7 @@
             self._usage.apply_answer(
                 answer.true_s, WindowId(answer.usage_closed)
             )
-        self._finder.add_by_name(answer.members.splitlines())
+        self._calls.finder.add_by_name(answer.members.splitlines())
         if answer.has_allowances:
             self._allowances.replace(
                 {
@@ -474,10 +488,8 @@
             self._identity.incarnation, term, tuple(reports), registration
         )
         try:
-            payload = await self._finder.client.call(
-                BORROW_METHOD,
-                encode_message(request),
-                self._settings.call_timeout_s,
+            payload = await self._calls.call(
+                BORROW_METHOD, encode_message(request)
             )
             answer = decode_message(BorrowAnswer, payload)
         except SiskinsailError:
@@ -496,7 +508,5 @@
             payload = encode_message(self._observations.urgent_report())
             # If this call fails, the next sync call has the observations.
             with contextlib.suppress(SiskinsailError):
-                await self._finder.client.call(
-                    REPORT_METHOD, payload, self._settings.call_timeout_s
-                )
+                await self._calls.call(REPORT_METHOD, payload)
             await anyio.sleep(URGENT_REPORT_INTERVAL_S)
--- a/libs/control/siskinsail_control/_leader_finder.py
+++ b/libs/control/siskinsail_control/_leader_finder.py
@@ -76,6 +76,11 @@
         """Client of the member to call next."""
         return self._clients[self._current]
 
+    @property
+    def is_any_connected(self) -> bool:
+        """Whether there is a connection to any member."""
+        return any(self._clients[name].is_connected for name in self._clients)
+
     def add(self, members: Mapping[VmId, Address]) -> None:
         """Add members; the known ones are kept."""
         for member, address in members.items():
@@ -100,7 +105,7 @@
         A daemon that was cut off from all members calls the first one that it
         reaches again, whichever it called last.
         """
-        if any(self._clients[name].is_connected for name in self._clients):
+        if self.is_any_connected:
             self._is_loss_logged = False
             return True
         if not self._is_loss_logged:
--- a/libs/control/siskinsail_control/_messages.py
+++ b/libs/control/siskinsail_control/_messages.py
@@ -23,6 +23,7 @@
 from siskinsail_types import Placement
 from siskinsail_types import ServiceId
 from siskinsail_types import Term
+from siskinsail_types import VmId
 
 capnp.remove_import_hook()
 _schema: Any = capnp.load(str(Path(__file__).with_name('control.capnp')))
@@ -31,6 +32,11 @@
 BORROW_METHOD = 'control.borrow'
 REPORT_METHOD = 'control.report'
 OPERATOR_METHOD = 'control.operator'
+RELAY_METHOD = 'control.relay'
+"""Called at a daemon, by the origin of the call to relay."""
+RELAYED_METHOD = 'control.relayed'
+"""Called at a control member, by the daemon that relays the call."""
+RELAYABLE_METHODS = frozenset({SYNC_METHOD, BORROW_METHOD, REPORT_METHOD})
 
 
 @unique
@@ -43,6 +49,17 @@
     SUPERSEDED = 'superseded'
 
 
+@unique
+class RelayStatus(Enum):
+    """Outcome at the relay; the values are enumerants of the schema."""
+
+    OK = 'ok'
+    UNAVAILABLE = 'unavailable'
+    FULL = 'full'
+    FORBIDDEN = 'forbidden'
+    UNANSWERED = 'unanswered'
+
+
 class _Message(
     msgspec.Struct, frozen=True, rename='camel', omit_defaults=True
 ):
@@ -254,6 +271,28 @@
     leader: str = ''
 
 
+class RelayRequest(_Message, frozen=True):
+    """Control call of another daemon, the origin.
+
+    Parameters
+    ----------
+    timeout_s : float
+        Time until the origin stops waiting; 0 at a control member.
+    """
+
+    method: str
+    payload: bytes
+    origin: VmId
+    timeout_s: float = 0.0
+
+
+class RelayAnswer(_Message, frozen=True):
+    """Answer to a relayed call; ``payload`` is valid only with ``OK``."""
+
+    status: RelayStatus
+    payload: bytes = b''
+
+
 class OperatorRequest(_Message, frozen=True):
     """HTTP request of an operator, already authenticated by the daemon."""
 
@@ -328,6 +367,8 @@
         BorrowAnswer,
         ReportRequest,
         ReportAnswer,
+        RelayRequest,
+        RelayAnswer,
         OperatorRequest,
         OperatorAnswer,
     )
--- a/libs/control/siskinsail_control/_metrics.py
+++ b/libs/control/siskinsail_control/_metrics.py
@@ -69,3 +69,16 @@
             ['kind'],
             registry=registry,
         )
+        self.relayed_calls = prometheus_client.Counter(
+            'siskinsail_control_relayed_calls',
+            'Control calls of other daemons, by method and outcome.',
+            ['method', 'outcome'],
+            registry=registry,
+        )
+        self.own_relayed_calls = prometheus_client.Counter(
+            'siskinsail_control_own_relayed_calls',
+            'Own control calls that another daemon relayed, by method and '
+            'outcome.',
+            ['method', 'outcome'],
+            registry=registry,
+        )
--- /dev/null
+++ b/libs/control/siskinsail_control/_relay_choice.py
@@ -0,0 +1,135 @@
+"""Decision whether, and by which daemon, control calls are relayed."""
+
+from collections.abc import Sequence
+import math
+
+from siskinsail_catalogue import rank_daemons
+from siskinsail_catalogue import ServingDaemon
+from siskinsail_types import Clock
+from siskinsail_types import VmId
+
+CANDIDATES_PER_ROUND = 3
+FIRST_PAUSE_S = 0.05
+MAX_PAUSE_S = 0.5
+# Longer than an election. A daemon whose members refuse calls for longer is
+# cut off from the leader, or has none.
+MAX_REFUSED_S = 1.0
+
+
+class RelayChoice:
+    """Chooses between direct calls and a relay.
+
+    Calls are direct until a member does not answer or none is connected. They
+    are relayed until the leader answers a direct call. A daemon that relayed a
+    call is kept as the relay until it fails.
+
+    The candidates are asked in rounds, in the order of rendezvous hashing of
+    the own name, so that the daemons that are cut off together ask different
+    ones. The pause after each round without an answer doubles.
+
+    Parameters
+    ----------
+    own : VmId
+        Name of this daemon.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, own: VmId, clock: Clock) -> None:
+        self._own = own
+        self._clock = clock
+        self._daemons: Sequence[ServingDaemon] = ()
+        self._candidates: list[ServingDaemon] = []
+        self._is_direct = True
+        self._refused_since_s = math.inf
+        self._relay: ServingDaemon | None = None
+        self._next_position = 0
+        self._failures_in_round = 0
+        self._pause_s = FIRST_PAUSE_S
+        self._pause_end_s = -math.inf
+
+    @property
+    def is_direct(self) -> bool:
+        """Whether the daemon calls the members itself."""
+        return self._is_direct or not self._candidates
+
+    @property
+    def relay(self) -> ServingDaemon | None:
+        """The daemon that relays the calls, None if there is none."""
+        return self._relay
+
+    @property
+    def has_candidates(self) -> bool:
+        """Whether there are daemons that could relay calls."""
+        return bool(self._candidates)
+
+    @property
+    def pause_s(self) -> float:
+        """Time until the next candidate may be asked, in seconds."""
+        return max(0.0, self._pause_end_s - self._clock.now_s())
+
+    def set_daemons(self, daemons: Sequence[ServingDaemon]) -> None:
+        """Set the daemons of the view that serve others.
+
+        A new control leader publishes none until it knows them all. The
+        earlier ones remain candidates meanwhile.
+        """
+        if not daemons or daemons is self._daemons:
+            return
+        self._daemons = daemons
+        others = [daemon for daemon in daemons if daemon.vm != self._own]
+        self._candidates = rank_daemons(others, self._own)
+        if self._relay not in self._candidates:
+            self._relay = None
+
+    def next_candidate(self) -> ServingDaemon | None:
+        """Return the daemon to ask now, None during a pause."""
+        if self._relay is not None:
+            return self._relay
+        if self.pause_s > 0 or not self._candidates:
+            return None
+        position = self._next_position % len(self._candidates)
+        self._next_position = position + 1
+        return self._candidates[position]
+
+    def record_direct_answer(self) -> None:
+        """Record that the leader answered a direct call."""
+        self._is_direct = True
+        self._refused_since_s = math.inf
+        self._relay = None
+        self._next_position = 0
+        self._end_round()
+
+    def record_direct_failure(self) -> None:
+        """Record that no member is connected or one did not answer."""
+        self._is_direct = False
+
+    def record_direct_refusal(self) -> None:
+        """Record that a member answered that it is not the leader."""
+        now_s = self._clock.now_s()
+        self._refused_since_s = min(self._refused_since_s, now_s)
+        if now_s - self._refused_since_s >= MAX_REFUSED_S:
+            self._is_direct = False
+
+    def record_relay_answer(self, daemon: ServingDaemon) -> None:
+        """Record that a daemon relayed a call and its answer."""
+        if not self._is_direct:
+            self._relay = daemon
+            self._end_round()
+
+    def record_relay_failure(self, daemon: ServingDaemon) -> None:
+        """Record that a daemon refused to relay a call or did not answer."""
+        if self._relay == daemon:
+            self._relay = None
+        self._failures_in_round += 1
+        if self._failures_in_round >= min(
+            CANDIDATES_PER_ROUND, len(self._candidates)
+        ):
+            self._failures_in_round = 0
+            self._pause_end_s = self._clock.now_s() + self._pause_s
+            self._pause_s = min(2 * self._pause_s, MAX_PAUSE_S)
+
+    def _end_round(self) -> None:
+        self._failures_in_round = 0
+        self._pause_s = FIRST_PAUSE_S
+        self._pause_end_s = -math.inf
--- a/libs/control/siskinsail_control/_service.py
+++ b/libs/control/siskinsail_control/_service.py
@@ -9,6 +9,7 @@
 from siskinsail_net import PeerServer
 from siskinsail_telemetry import log_event
 from siskinsail_types import Clock
+from siskinsail_types import ProtocolError
 from siskinsail_types import VmId
 
 from ._admin_client import AdminClient
@@ -26,6 +27,8 @@
 from ._messages import OPERATOR_METHOD
 from ._messages import OperatorAnswer
 from ._messages import OperatorRequest
+from ._messages import RELAYED_METHOD
+from ._messages import RelayRequest
 from ._messages import REPORT_METHOD
 from ._messages import ReportAnswer
 from ._messages import ReportRequest
@@ -111,6 +114,13 @@
         server.register(BORROW_METHOD, self._borrow)
         server.register(REPORT_METHOD, self._report)
         server.register(OPERATOR_METHOD, self._operator)
+        self._relayable = {
+            SYNC_METHOD: self._sync,
+            BORROW_METHOD: self._borrow,
+            REPORT_METHOD: self._report,
+        }
+        if settings.relays_control_calls:
+            server.register(RELAYED_METHOD, self._relayed)
 
     @property
     def leadership(self) -> Leadership | None:
@@ -208,6 +218,14 @@
             answer = ReportAnswer(Status.OK, self._vm)
         return self._count_call(REPORT_METHOD, encode_message(answer))
 
+    async def _relayed(self, caller: VmId, payload: bytes) -> bytes:
+        """Answer a call of a daemon that another daemon passes on."""
+        request = decode_message(RelayRequest, payload)
+        handler = self._relayable.get(request.method)
+        if handler is None:
+            raise ProtocolError(f'{request.method!r} must not be relayed')
+        return await handler(request.origin, request.payload)
+
     async def _operator(self, caller: VmId, payload: bytes) -> bytes:
         request = decode_message(OperatorRequest, payload)
         leadership = self.leadership
--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -73,6 +73,9 @@
     view_digests : bool
         let a daemon send digests of its view when it registers, so that a
         new leader sends only what differs
+    relays_control_calls : bool
+        let a daemon that reaches no control leader have its control calls
+        relayed by a daemon that serves statements for others
     duty_lease_s : float
         time within which promotions of a group must not return to a control
         member after another one promoted; 0 to not wait
@@ -113,6 +116,7 @@
     connections_by_demand: bool = False
     equal_connection_shares: bool = False
     view_digests: bool = False
+    relays_control_calls: bool = False
     duty_lease_s: OptionalSeconds = 0.0
     tick_s: Seconds = 0.05
 
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -180,3 +180,33 @@
   httpStatus @2 :UInt16;
   body @3 :Data;
 }
+
+enum RelayStatus {
+  ok @0;
+  # The daemon has no lease, or the leader did not answer its last call.
+  unavailable @1;
+  # The daemon relays calls for as many others as it may.
+  full @2;
+  # The origin is not the caller, or the method is not relayed.
+  forbidden @3;
+  # The leader did not answer the relayed call.
+  unanswered @4;
+}
+
+# A call of control.relay, by the origin at a daemon, and of control.relayed,
+# by that daemon at a control member. The answer to control.relayed is the
+# answer to the method.
+struct RelayRequest {
+  method @0 :Text;
+  payload @1 :Data;
+  # Name of the daemon that makes the call.
+  origin @2 :Text;
+  # Seconds until the origin stops waiting.
+  timeoutS @3 :Float64;
+}
+
+struct RelayAnswer {
+  status @0 :RelayStatus;
+  # The answer of the control member; valid only with ok.
+  payload @1 :Data;
+}
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -146,6 +146,7 @@
         self.agents: dict[str, ControlAgent] = {}
         self.usages: dict[str, FakeUsage] = {}
         self.borrowers: dict[str, Borrower] = {}
+        self.metrics: dict[str, ControlMetrics] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
 
     async def start_member(self, name: str, usage=None) -> None:
@@ -176,8 +177,11 @@
         incarnation: str = '1',
         peer_address: str = '',
         counter=None,
+        network=None,
     ) -> ControlAgent:
         borrower = Borrower(LimitSettings(), self.clock)
+        metrics = ControlMetrics(prometheus_client.CollectorRegistry())
+        self.metrics[vm] = metrics
         self.borrowers[vm] = borrower
         agent = ControlAgent(
             self.settings,
@@ -188,11 +192,11 @@
                 peer_address=peer_address,
             ),
             self.members,
-            self.network,
+            network or self.network,
             SECRET,
             self.clock,
             borrower,
-            ControlMetrics(prometheus_client.CollectorRegistry()),
+            metrics,
             usage=counter,
         )
         usage = FakeUsage()
--- a/libs/holders/siskinsail_holders/_directory.py
+++ b/libs/holders/siskinsail_holders/_directory.py
@@ -4,6 +4,7 @@
 import math
 
 from siskinsail_catalogue import BackendServer
+from siskinsail_catalogue import rank_daemons
 from siskinsail_catalogue import ServingDaemon
 from siskinsail_catalogue import View
 from siskinsail_types import AccountId
@@ -11,7 +12,6 @@
 from siskinsail_types import ServiceId
 from siskinsail_types import VmId
 
-from ._hashing import hash_bytes
 from ._settings import HolderSettings
 
 _Site = tuple[ServiceId, DataCentreId]
@@ -112,10 +112,10 @@
         shared = ranked[: self._settings.per_database]
         if not shared:
             return ()
-        ordered = _rank(shared, f'{service}/{account}')
+        ordered = rank_daemons(shared, f'{service}/{account}')
         count = self._holder_counts.get(account, 1)
         # Daemons divide themselves among the holders of a large account.
-        preferred = _rank(ordered[:count], f'{self._own}/{account}')
+        preferred = rank_daemons(ordered[:count], f'{self._own}/{account}')
         preferred.sort(key=lambda daemon: daemon.vm != self._own)
         others = ranked[self._settings.per_database :]
         return (*preferred, *ordered[count:], *others)
@@ -181,7 +181,7 @@
         account: AccountId,
     ) -> bool:
         count = self._holder_counts.get(account, 1)
-        ranked = _rank(shared, f'{service}/{account}')
+        ranked = rank_daemons(shared, f'{service}/{account}')
         return self._own in [daemon.vm for daemon in ranked[:count]]
 
     def _ranked_holders(
@@ -195,20 +195,7 @@
                 self._settings.min_per_data_centre,
                 math.ceil(len(local) * self._settings.data_centre_share),
             )
-            holding = _rank(local, data_centre)[:count]
-            ranked = tuple(_rank(holding, f'{service}/{data_centre}'))
+            holding = rank_daemons(local, data_centre)[:count]
+            ranked = tuple(rank_daemons(holding, f'{service}/{data_centre}'))
             self._ranked[service, data_centre] = ranked
         return ranked
-
-
-def _rank(daemons: Sequence[ServingDaemon], key: str) -> list[ServingDaemon]:
-    """Order daemons by rendezvous hashing."""
-    return sorted(
-        daemons,
-        key=lambda daemon: (_score(daemon.vm, key), daemon.vm),
-        reverse=True,
-    )
-
-
-def _score(vm: VmId, key: str) -> bytes:
-    return hash_bytes(f'{vm}/{key}')
--- a/libs/net/siskinsail_net/_peer_clients.py
+++ b/libs/net/siskinsail_net/_peer_clients.py
@@ -49,6 +49,7 @@
         self._vm = vm
         self._resolve = resolve
         self._clients: dict[VmId, PeerClient] = {}
+        self._scopes: dict[VmId, anyio.CancelScope] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
     def __contains__(self, daemon: VmId) -> bool:
@@ -67,7 +68,14 @@
         client = PeerClient(self._network, address, self._secret, self._vm)
         self._clients[daemon] = client
         if self._tasks is not None:
-            self._tasks.start_soon(client.run)
+            self._start(daemon, self._tasks)
+
+    def remove(self, daemon: VmId) -> None:
+        """Close the connection to a daemon and forget it."""
+        self._clients.pop(daemon, None)
+        scope = self._scopes.pop(daemon, None)
+        if scope is not None:
+            scope.cancel()
 
     def add_discovered(self, daemon: VmId) -> bool:
         """Add a client for a daemon by name; return whether one exists now."""
@@ -95,8 +103,17 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             try:
-                for client in self._clients.values():
-                    tasks.start_soon(client.run)
+                for daemon in self._clients:
+                    self._start(daemon, tasks)
                 await anyio.sleep_forever()
             finally:
                 self._tasks = None
+
+    def _start(self, daemon: VmId, tasks: anyio.abc.TaskGroup) -> None:
+        scope = self._scopes[daemon] = anyio.CancelScope()
+        tasks.start_soon(_run_client, self._clients[daemon], scope)
+
+
+async def _run_client(client: PeerClient, scope: anyio.CancelScope) -> None:
+    with scope:
+        await client.run()
