Cover the failures of relayed control calls

A registration of a process that has ended could arrive late, through a frozen relay, and then ended the lease of the process that runs now.

A cut in the test fleet is awaited: a change reached a daemon within 20 ms of the cut, and the test of withdrawn keys failed once.

--- a/libs/control/siskinsail_control/_leadership.py
+++ b/libs/control/siskinsail_control/_leadership.py
@@ -148,15 +148,9 @@
         key = (vm, request.incarnation)
         if request.leaving:
             return await self._handle_leave(key, request)
-        if request.leader_term == 0:
-            if not await self._register(key):
-                return self._status_answer(Status.NOT_LEADER)
-        elif not self._is_registered(key, request.leader_term):
-            return self._status_answer(Status.NOT_REGISTERED)
-        elif request.changes_only and self._connection_lender.has_lapsed(key):
-            # The lease ended before the call, so the connections that it does
-            # not report have been reclaimed.
-            return self._status_answer(Status.NOT_REGISTERED)
+        refusal = await self._check_registration(key, request)
+        if refusal is not None:
+            return self._status_answer(refusal)
         record = self._daemon_table.record_call(
             key, request.data_centre, request.sequence, request.view_version
         )
@@ -230,6 +224,24 @@
             log_event('control_databases_departed', databases=departed)
             self._on_membership_change()
 
+    async def _check_registration(
+        self, key: DaemonKey, request: SyncRequest
+    ) -> Status | None:
+        """Register a daemon that asks for it; return why it gets no lease."""
+        if request.leader_term == 0:
+            if self._is_of_earlier_process(key, request):
+                return Status.SUPERSEDED
+            if not await self._register(key):
+                return Status.NOT_LEADER
+            return None
+        if not self._is_registered(key, request.leader_term):
+            return Status.NOT_REGISTERED
+        if request.changes_only and self._connection_lender.has_lapsed(key):
+            # The lease ended before the call, so the connections that it does
+            # not report have been reclaimed.
+            return Status.NOT_REGISTERED
+        return None
+
     async def _register(self, key: DaemonKey) -> bool:
         # A lease may be granted only to a daemon that is registered in the
         # log, since a new leader waits for the leases of those daemons.
@@ -251,6 +263,25 @@
         self._deregistered.discard(key)
         return self._context.still_leads
 
+    def _is_of_earlier_process(
+        self, key: DaemonKey, request: SyncRequest
+    ) -> bool:
+        """Return whether a VM has a later process than the one that called.
+
+        The registration of a process that has ended may arrive late. It must
+        not end the lease of the process that runs now.
+        """
+        vm, _ = key
+        processes = self._context.state.active_processes(vm)
+        if key in processes:
+            return processes[-1] != key
+        # The earlier process was deregistered. A process that has just started
+        # has no view.
+        return request.view_version > 0 and any(
+            record.vm == vm and record.key != key
+            for record in self._daemon_table.leased
+        )
+
     def _record_restart(self, key: DaemonKey) -> None:
         """Record that the earlier processes of a VM have ended.
 
--- a/libs/control/siskinsail_control/_state.py
+++ b/libs/control/siskinsail_control/_state.py
@@ -93,7 +93,8 @@
         self._catalogue = CatalogueState()
         self._groups: dict[ServiceId, GroupState] = {}
         self._token_secrets: tuple[bytes, ...] = ()
-        # The value is False for a suspended daemon.
+        # In the order of their first registrations. The value is False for a
+        # suspended daemon.
         self._daemons: dict[DaemonKey, bool] = {}
         self._active_daemons: frozenset[DaemonKey] | None = None
         self._had_daemons = False
@@ -141,6 +142,14 @@
         """Return whether a daemon may hold leases and tokens."""
         return self._daemons.get(key, False)
 
+    def active_processes(self, vm: VmId) -> tuple[DaemonKey, ...]:
+        """Return the active daemons of a VM, the last registered one last."""
+        return tuple(
+            key
+            for key, is_active in self._daemons.items()
+            if is_active and key[0] == vm
+        )
+
     @property
     def had_daemons(self) -> bool:
         """Whether any daemon has ever been registered."""
--- a/libs/control/tests/relay_fleet.py
+++ b/libs/control/tests/relay_fleet.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
 
 import anyio
@@ -12,6 +13,7 @@
 from siskinsail_control import ControlSettings
 from siskinsail_control import RELAY_METHOD
 from siskinsail_control import RelayService
+from siskinsail_control._messages import SYNC_METHOD
 from siskinsail_net import FaultNetwork
 from siskinsail_net import FaultRule
 from siskinsail_net import FaultTable
@@ -38,7 +40,11 @@
     Parameters
     ----------
     calls : list
-        Methods and origins of the calls that it was asked to relay.
+        Origins of the calls that it was asked to relay.
+    delay_s : float
+        Time for which it holds the answers.
+    held : anyio.Event or None
+        Set when a call arrives that it does not answer; None to answer.
     """
 
     vm: VmId
@@ -46,7 +52,9 @@
     agent: ControlAgent
     server: PeerServer
     scope: anyio.CancelScope
-    calls: list
+    calls: list = field(default_factory=list)
+    delay_s: float = 0.0
+    held: anyio.Event | None = None
 
 
 class RelayFleet(Fleet):
@@ -103,7 +111,7 @@
             peer_address=str(address),
             network=network,
         )
-        daemon = Daemon(VmId(vm), host, agent, server, scope, [])
+        daemon = Daemon(VmId(vm), host, agent, server, scope)
         if can_relay:
             relay = RelayService(
                 self.settings, agent, self.clock, self.metrics[vm]
@@ -111,7 +119,12 @@
 
             async def handle(caller: VmId, payload: bytes) -> bytes:
                 daemon.calls.append(caller)
-                return await relay.handle(caller, payload)
+                if daemon.held is not None:
+                    daemon.held.set()
+                    await anyio.sleep_forever()
+                answer = await relay.handle(caller, payload)
+                await anyio.sleep(daemon.delay_s)
+                return answer
 
             server.register(RELAY_METHOD, handle)
         self.daemons[vm] = daemon
@@ -122,7 +135,7 @@
         self.kill(vm)
         self.daemons.pop(vm).scope.cancel()
 
-    def cut(self, vm: str, host: str = MEMBERS) -> None:
+    async def cut(self, vm: str, host: str = MEMBERS) -> None:
         """Withhold all bytes between a daemon and an address prefix."""
         own = self.daemons[vm].host
         self._cuts.setdefault(vm, []).extend(
@@ -132,6 +145,7 @@
             )
         )
         self._write_rules()
+        await wait_until(lambda: self.table.is_blocked(own, host))
 
     def heal(self, vm: str) -> None:
         """Remove all cuts of a daemon."""
@@ -154,6 +168,20 @@
         await wait_until(lambda: self.relay_of(vm) is not None)
         return self.relay_of(vm)
 
+    def hold_relay(self, vm: str) -> anyio.Event:
+        """Freeze a relay; return the event of the next call that it gets."""
+        self.daemons[vm].held = anyio.Event()
+        return self.daemons[vm].held
+
+    def delay_answers(self, vm: str, delay_s: float) -> None:
+        """Have a relay hold its answers for a time."""
+        self.daemons[vm].delay_s = delay_s
+
+    def relayed(self, vm: str, outcome: str, method=SYNC_METHOD) -> float:
+        """Return how many calls of a daemon were relayed."""
+        counter = self.metrics[vm].own_relayed_calls
+        return counter.labels(method, outcome)._value.get()
+
     async def hold_lease(self, vm: str, duration_s: float) -> None:
         """Check that a daemon holds its lease at all times."""
         agent = self.daemons[vm].agent
