Ask no relay while the control members elect a leader

When the leader fails, its answers fail for all daemons, and no relay helps. After an unanswered call a daemon now waits for a tenth of a second for an answer of another member; while members answer that they are not the leader, it asks relays only after 1 s.

The decision table has the rows that failed on the code before.

--- a/libs/control/siskinsail_control/_control_calls.py
+++ b/libs/control/siskinsail_control/_control_calls.py
@@ -169,9 +169,11 @@
             if candidate is not None:
                 self._path = self._relayed_path(candidate)
                 return self._path
-            with anyio.move_on_after(self._choice.pause_s):
+            # The next call to a member may end the pause.
+            with anyio.move_on_after(min(self._choice.pause_s, RETRY_DELAY_S)):
                 await self._direct_found.wait()
         if self._choice.has_candidates and not self._finder.is_any_connected:
+            self._choice.record_no_member()
             self._leave_direct_path()
             return await self.choose_path()
         if not await self._finder.wait_any_connected(
@@ -273,6 +275,7 @@
     def _(self, path: DirectPath) -> bool:
         self._is_redirected = False
         self._finder.record_failure(path.client)
+        self._choice.record_direct_failure()
         self._leave_direct_path()
         return not self._choice.is_direct
 
@@ -296,10 +299,8 @@
 
     @record_refusal.register
     def _(self, path: DirectPath, answer: SyncAnswer) -> bool:
-        self.end_relaying()
         self._choice.record_direct_refusal()
-        if not self._choice.is_direct:
-            self._leave_direct_path()
+        self._leave_direct_path()
         return self._follow_hint(path.client, answer.leader)
 
     @record_refusal.register
@@ -318,8 +319,8 @@
         return self._is_redirected
 
     def _leave_direct_path(self) -> None:
+        """End the use of the leader, and of the direct path if so chosen."""
         self.end_relaying()
-        self._choice.record_direct_failure()
         if not self._choice.is_direct:
             self._direct_found = anyio.Event()
             self._direct_lost.set()
@@ -395,6 +396,7 @@
         if not await self._finder.wait_any_connected(
             self._settings.call_timeout_s
         ):
+            self._choice.record_no_member()
             return False
         self._finder.prefer_connected()
         client = self._finder.client
@@ -411,8 +413,10 @@
         except SiskinsailError:
             self._is_redirected = False
             self._finder.record_failure(client)
+            self._choice.record_direct_failure()
             return False
         if answer.status is Status.NOT_LEADER:
+            self._choice.record_direct_refusal()
             self._follow_hint(client, answer.leader)
             return False
         self._finder.record_leader(client)
--- a/libs/control/siskinsail_control/_relay_choice.py
+++ b/libs/control/siskinsail_control/_relay_choice.py
@@ -11,8 +11,12 @@
 CANDIDATES_PER_ROUND = 3
 FIRST_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.5
-# Longer than an election. A daemon whose members refuse calls for longer is
-# cut off from the leader, or has none.
+# Four round trips between regions. If a member answers within this time, the
+# daemon is not cut off, and the leader has probably failed for all daemons.
+ANSWER_WAIT_S = 0.1
+# Longer than most elections. A daemon whose members refuse its calls for
+# longer is probably cut off from the leader. The rest of its lease suffices to
+# ask the candidates of one round.
 MAX_REFUSED_S = 1.0
 
 
@@ -20,8 +24,10 @@
     """Chooses between direct calls and a relay.
 
     Calls are direct until a member does not answer or none is connected. They
-    are relayed until the leader answers a direct call. A daemon that relayed a
-    call is kept as the relay until it fails.
+    are then relayed until the leader answers a direct call. No daemon is asked
+    while other members answer that they are not the leader, unless they do so
+    for longer than an election takes. A daemon that relayed a call is kept as
+    the relay until it fails.
 
     The candidates are asked in rounds, in the order of rendezvous hashing of
     the own name, so that the daemons that are cut off together ask different
@@ -66,7 +72,10 @@
     @property
     def pause_s(self) -> float:
         """Time until the next candidate may be asked, in seconds."""
-        return max(0.0, self._pause_end_s - self._clock.now_s())
+        end_s = self._pause_end_s
+        if self._refused_since_s < math.inf:
+            end_s = max(end_s, self._refused_since_s + MAX_REFUSED_S)
+        return max(0.0, end_s - self._clock.now_s())
 
     def set_daemons(self, daemons: Sequence[ServingDaemon]) -> None:
         """Set the daemons of the view that serve others.
@@ -101,8 +110,16 @@
         self._end_round()
 
     def record_direct_failure(self) -> None:
-        """Record that no member is connected or one did not answer."""
+        """Record that a member did not answer."""
+        if self._is_direct:
+            self._pause_end_s = self._clock.now_s() + ANSWER_WAIT_S
         self._is_direct = False
+        self._refused_since_s = math.inf
+
+    def record_no_member(self) -> None:
+        """Record that no member is connected."""
+        self._is_direct = False
+        self._refused_since_s = math.inf
 
     def record_direct_refusal(self) -> None:
         """Record that a member answered that it is not the leader."""
--- a/libs/control/siskinsail_control/_relay_service.py
+++ b/libs/control/siskinsail_control/_relay_service.py
@@ -93,7 +93,10 @@
             end_s - self._clock.now_s(),
         )
         if payload is None:
-            return RelayAnswer(RelayStatus.UNANSWERED)
+            is_lost = connection.lost.is_set()
+            return RelayAnswer(
+                RelayStatus.UNAVAILABLE if is_lost else RelayStatus.UNANSWERED
+            )
         return RelayAnswer(RelayStatus.OK, payload)
 
 
--- a/libs/control/tests/test_relay_choice.py
+++ b/libs/control/tests/test_relay_choice.py
@@ -8,6 +8,7 @@
 import pytest
 
 from siskinsail_catalogue import ServingDaemon
+from siskinsail_control._relay_choice import ANSWER_WAIT_S
 from siskinsail_control._relay_choice import CANDIDATES_PER_ROUND
 from siskinsail_control._relay_choice import MAX_PAUSE_S
 from siskinsail_control._relay_choice import MAX_REFUSED_S
@@ -57,6 +58,35 @@
     choice.record_direct_failure()
 
 
+def _cut_off(choice: RelayChoice, clock: ManualClock) -> None:
+    choice.record_direct_failure()
+    clock.advance(ANSWER_WAIT_S)
+
+
+def _disconnected(choice: RelayChoice, clock: ManualClock) -> None:
+    choice.record_no_member()
+
+
+def _leader_fails(choice: RelayChoice, clock: ManualClock) -> None:
+    choice.record_direct_failure()
+    choice.record_direct_refusal()
+    clock.advance(MAX_REFUSED_S / 2)
+    choice.record_direct_refusal()
+
+
+def _cut_off_from_leader(choice: RelayChoice, clock: ManualClock) -> None:
+    choice.record_direct_failure()
+    choice.record_direct_refusal()
+    clock.advance(MAX_REFUSED_S)
+
+
+def _cut_off_during_election(choice: RelayChoice, clock: ManualClock) -> None:
+    choice.record_direct_failure()
+    choice.record_direct_refusal()
+    clock.advance(MAX_REFUSED_S / 2)
+    choice.record_direct_failure()
+
+
 def _short_refusal(choice: RelayChoice, clock: ManualClock) -> None:
     choice.record_direct_refusal()
     clock.advance(MAX_REFUSED_S / 2)
@@ -77,39 +107,54 @@
 
 
 def _answered_again(choice: RelayChoice, clock: ManualClock) -> None:
-    choice.record_direct_failure()
+    choice.record_no_member()
     choice.record_direct_answer()
 
 
 def _relayed(choice: RelayChoice, clock: ManualClock) -> None:
-    choice.record_direct_failure()
+    choice.record_no_member()
     candidate = choice.next_candidate()
     assert candidate is not None
     choice.record_relay_answer(candidate)
+    choice.record_direct_refusal()
+
+
+def _next_step(choice: RelayChoice) -> str:
+    if choice.is_direct:
+        return 'direct'
+    return 'wait' if choice.next_candidate() is None else 'relay'
 
 
 @pytest.mark.parametrize(
-    ('load', 'daemons', 'record', 'is_direct'),
+    ('load', 'daemons', 'record', 'step'),
     [
-        ('calm', 10, _no_event, True),
-        ('a member does not answer', 10, _unanswered, False),
-        ('election', 10, _short_refusal, True),
-        ('only members without a leader in reach', 10, _long_refusal, False),
-        ('two elections', 10, _refusals_apart, True),
-        ('the partition has healed', 10, _answered_again, True),
-        ('partition with a relay', 10, _relayed, False),
-        ('no other daemon serves', 1, _unanswered, True),
-        ('start of a process, without a view', 0, _unanswered, True),
+        ('calm', 10, _no_event, 'direct'),
+        ('a member has just not answered', 10, _unanswered, 'wait'),
+        ('no member answers', 10, _cut_off, 'relay'),
+        ('no member is connected', 10, _disconnected, 'relay'),
+        ('the leader fails', 10, _leader_fails, 'wait'),
+        ('cut off from the leader', 10, _cut_off_from_leader, 'relay'),
+        ('cut off in an election', 10, _cut_off_during_election, 'relay'),
+        ('election', 10, _short_refusal, 'direct'),
+        ('only members without a leader', 10, _long_refusal, 'relay'),
+        ('two elections', 10, _refusals_apart, 'direct'),
+        ('the partition has healed', 10, _answered_again, 'direct'),
+        ('partition with a relay', 10, _relayed, 'relay'),
+        ('no other daemon serves', 1, _cut_off, 'direct'),
+        ('start of a process, without a view', 0, _cut_off, 'direct'),
     ],
 )
 def test_calls_are_relayed_while_no_leader_answers(
-    load, daemons, record, is_direct
+    load, daemons, record, step
 ):
-    """Guards against relays without need, and none where one is needed."""
+    """Guards against relays without need, and none where one is needed.
+
+    If the leader fails, it fails for all daemons, and no relay helps.
+    """
     clock = ManualClock()
     choice = _choice(clock, daemons)
     record(choice, clock)
-    assert choice.is_direct is is_direct, load
+    assert _next_step(choice) == step, load
 
 
 @pytest.mark.parametrize('daemons', [2, 3, 10, 65])
@@ -117,7 +162,7 @@
     """Guards against a flood when most daemons of a fleet are cut off."""
     clock = ManualClock()
     choice = _choice(clock, daemons)
-    choice.record_direct_failure()
+    choice.record_no_member()
     pauses = []
     asked = []
     for _ in range(8):
@@ -139,7 +184,7 @@
     for number in range(65):
         choice = RelayChoice(VmId(f'd{number}'), ManualClock())
         choice.set_daemons(_daemons(65))
-        choice.record_direct_failure()
+        choice.record_no_member()
         candidate = choice.next_candidate()
         assert candidate is not None
         first.add(candidate.vm)
@@ -150,7 +195,7 @@
 def test_a_daemon_that_relayed_a_call_is_kept_until_it_fails():
     """Guards against a new connection for each call."""
     choice = _choice(ManualClock())
-    choice.record_direct_failure()
+    choice.record_no_member()
     refusing = choice.next_candidate()
     choice.record_relay_failure(refusing)
     relay = choice.next_candidate()
@@ -165,7 +210,7 @@
 def test_an_answer_after_the_return_to_direct_calls_is_not_kept():
     """Guards against calls that stay relayed although a member answers."""
     choice = _choice(ManualClock())
-    choice.record_direct_failure()
+    choice.record_no_member()
     relay = choice.next_candidate()
     choice.record_direct_answer()
     choice.record_relay_answer(relay)
@@ -187,7 +232,7 @@
     A new leader publishes no daemons until it knows them all.
     """
     choice = _choice(ManualClock())
-    choice.record_direct_failure()
+    choice.record_no_member()
     relay = choice.next_candidate()
     choice.record_relay_answer(relay)
     choice.set_daemons(daemons)
--- a/libs/control/tests/test_relay_service.py
+++ b/libs/control/tests/test_relay_service.py
@@ -188,4 +188,4 @@
             tasks.start_soon(relay)
             await client.called.wait()
             source.leader_connection.lost.set()
-    assert answers == [RelayAnswer(RelayStatus.UNANSWERED)]
+    assert answers == [RelayAnswer(RelayStatus.UNAVAILABLE)]
