--- a/libs/control/siskinsail_control/_control_calls.py
+++ b/libs/control/siskinsail_control/_control_calls.py
@@ -139,8 +139,12 @@
 
     def set_daemons(self, daemons: tuple[ServingDaemon, ...]) -> None:
         """Set the daemons that may relay calls."""
-        if self._settings.relays_control_calls:
-            self._choice.set_daemons(daemons)
+        if not self._settings.relays_control_calls:
+            return
+        relay = self._choice.relay
+        self._choice.set_daemons(daemons)
+        if relay is not None and self._choice.relay is None:
+            self._end_relay(relay, 'not in the view')
 
     async def run(self) -> None:
         """Keep the connections open until cancelled."""
@@ -243,9 +247,10 @@
 
     @record_leader.register
     def _(self, path: RelayedPath) -> None:
-        if self._choice.relay is None:
-            log_event('control_relay_started', relay=path.relay.vm)
+        was_relayed = self._choice.relay is not None
         self._choice.record_relay_answer(path.relay)
+        if not was_relayed and self._choice.relay is not None:
+            log_event('control_relay_started', relay=path.relay.vm)
 
     @singledispatchmethod
     def record_not_registered(self, path: Path) -> None:
@@ -326,9 +331,15 @@
             self._direct_lost.set()
 
     def _leave_relay(self, relay: ServingDaemon, reason: str) -> None:
-        if self._choice.relay == relay:
-            log_event('control_relay_ended', relay=relay.vm, reason=reason)
+        was_kept = self._choice.relay == relay
         self._choice.record_relay_failure(relay)
+        if was_kept:
+            self._end_relay(relay, reason)
+        else:
+            self._relay_clients.remove(relay.vm)
+
+    def _end_relay(self, relay: ServingDaemon, reason: str) -> None:
+        log_event('control_relay_ended', relay=relay.vm, reason=reason)
         self._relay_clients.remove(relay.vm)
 
     def _relayed_path(self, relay: ServingDaemon) -> RelayedPath:
@@ -425,9 +436,7 @@
     def _use_direct_path(self) -> None:
         relay = self._choice.relay
         if relay is not None:
-            log_event(
-                'control_relay_ended', relay=relay.vm, reason='member answered'
-            )
+            self._end_relay(relay, 'member answered')
         self._choice.record_direct_answer()
         for daemon in self._relay_clients:
             self._relay_clients.remove(daemon)
--- a/libs/control/siskinsail_control/_relay_choice.py
+++ b/libs/control/siskinsail_control/_relay_choice.py
@@ -129,8 +129,11 @@
             self._is_direct = False
 
     def record_relay_answer(self, daemon: ServingDaemon) -> None:
-        """Record that a daemon relayed a call and its answer."""
-        if not self._is_direct:
+        """Record that a daemon relayed a call and its answer.
+
+        The answer may have brought a view without this daemon.
+        """
+        if not self._is_direct and daemon in self._candidates:
             self._relay = daemon
             self._end_round()
 
--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -149,8 +149,11 @@
         self.metrics: dict[str, ControlMetrics] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
 
-    async def start_member(self, name: str, usage=None) -> None:
-        server = PeerServer(self.network, SECRET, VmId(name))
+    async def start_member(
+        self, name: str, usage=None, network=None, local: Address = LOCAL
+    ) -> None:
+        network = network or self.network
+        server = PeerServer(network, SECRET, VmId(name))
         state = ControlState()
         self.log.states.append(state)
         limits = LimitSettings()
@@ -160,14 +163,14 @@
             FakeReplica(name, self.log),
             state,
             server,
-            self.network,
+            network,
             self.clock,
             lambda: Lender(limits, self.clock),
             ControlMetrics(prometheus_client.CollectorRegistry()),
             usage=usage,
         )
         self.services[name] = service
-        self.members[VmId(name)] = await self.tasks.start(server.serve, LOCAL)
+        self.members[VmId(name)] = await self.tasks.start(server.serve, local)
         self.tasks.start_soon(service.run)
 
     def start_agent(
--- a/libs/control/tests/relay_fleet.py
+++ b/libs/control/tests/relay_fleet.py
@@ -27,7 +27,9 @@
 from .conftest import SECRET
 from .conftest import wait_until
 
-MEMBERS = '127.0.0.1'
+LEADER = '127.0.0.1'
+OTHER_MEMBER = '127.0.0.2'
+MEMBERS = '127.0.0.'
 RELAYING = ControlSettings(
     registration_s=4.0, suspend_s=1.0, relays_control_calls=True
 )
@@ -58,7 +60,7 @@
 
 
 class RelayFleet(Fleet):
-    """Control members at one address and daemons at an address each."""
+    """Two control members and daemons, at an address each."""
 
     def __init__(self, tasks, folder: Path, settings=RELAYING) -> None:
         self._path = folder / 'rules.json'
@@ -66,7 +68,7 @@
         self._cuts: dict[str, list[FaultRule]] = {}
         self.daemons: dict[str, Daemon] = {}
         self.events: list[dict] = []
-        super().__init__(tasks, settings, FaultNetwork(MEMBERS, self.table))
+        super().__init__(tasks, settings, FaultNetwork(LEADER, self.table))
 
     @classmethod
     @contextlib.asynccontextmanager
@@ -76,8 +78,12 @@
             fleet = cls(tasks, folder, settings)
             eliot.add_destinations(fleet.events.append)
             try:
-                for member in ('m0', 'm1'):
-                    await fleet.start_member(member)
+                for member, host in (('m0', LEADER), ('m1', OTHER_MEMBER)):
+                    await fleet.start_member(
+                        member,
+                        network=FaultNetwork(host, fleet.table),
+                        local=Address(host, 0),
+                    )
                 fleet.log.elect('m0')
                 for number in range(count):
                     await fleet.start_daemon(f'd{number}')
--- a/libs/control/tests/test_relay_choice.py
+++ b/libs/control/tests/test_relay_choice.py
@@ -237,6 +237,9 @@
     choice.record_relay_answer(relay)
     choice.set_daemons(daemons)
     assert (choice.relay == relay) is is_kept, change
+    # The answer that brought the view.
+    choice.record_relay_answer(relay)
+    assert (choice.relay == relay) is is_kept, change
 
 
 @pytest.mark.parametrize(
--- a/libs/control/tests/test_relayed_calls.py
+++ b/libs/control/tests/test_relayed_calls.py
@@ -4,6 +4,8 @@
 that reach the control leader, and against leases that are counted wrongly.
 """
 
+import math
+
 import pytest
 from returns.pipeline import is_successful
 
@@ -28,6 +30,7 @@
 from .conftest import account
 from .conftest import apply
 from .conftest import wait_until
+from .relay_fleet import LEADER
 from .relay_fleet import RelayFleet
 from .relay_fleet import RELAYING
 
@@ -88,6 +91,50 @@
         await fleet.hold_lease('d0', LEASE_CHECK_S)
 
 
+async def test_a_daemon_that_reaches_no_leader_among_members_uses_a_relay(
+    tmp_path,
+):
+    """Guards against a daemon that is cut off from the leader alone.
+
+    The other members answer it, but do not lead.
+    """
+    async with RelayFleet.run(tmp_path, 3) as fleet:
+        await fleet.cut('d0', LEADER)
+        await fleet.wait_relayed('d0')
+        await fleet.hold_lease('d0', LEASE_CHECK_S)
+
+
+async def test_an_election_needs_no_relay(tmp_path):
+    """Guards against daemons that load each other when the leader fails."""
+    async with RelayFleet.run(tmp_path, 3) as fleet:
+        agents = list(fleet.agents.values())
+        fleet.log.elect(None)
+        await wait_until(
+            lambda: all(
+                agent._calls._choice._refused_since_s < math.inf
+                for agent in agents
+            )
+        )
+        fleet.log.elect('m1')
+        await wait_until(
+            lambda: all(
+                agent._leader_term == fleet.log.term for agent in agents
+            )
+        )
+        assert not any(daemon.calls for daemon in fleet.daemons.values())
+
+
+async def test_a_relay_that_leaves_the_view_is_given_up(tmp_path):
+    """Guards against calls through a daemon that stops serving others."""
+    async with RelayFleet.run(tmp_path, 3) as fleet:
+        await fleet.cut('d0')
+        first = await fleet.wait_relayed('d0')
+        fleet.agents[first].set_readiness(lambda: False)
+        await wait_until(lambda: fleet.relay_of('d0') not in (None, first))
+        (ended,) = fleet.logged('control_relay_ended')
+        assert ended['reason'] == 'not in the view'
+
+
 async def _end_process(fleet, relay) -> None:
     fleet.stop_daemon(relay)
 
--- a/libs/net/tests/test_peer.py
+++ b/libs/net/tests/test_peer.py
@@ -8,6 +8,7 @@
 import struct
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from siskinsail_net import _peer_frame
@@ -17,6 +18,7 @@
 from siskinsail_net import FrameKind
 from siskinsail_net import PeerCallError
 from siskinsail_net import PeerClient
+from siskinsail_net import PeerClients
 from siskinsail_net import PeerServer
 from siskinsail_net import PROTOCOL_VERSION
 from siskinsail_net import TcpNetwork
@@ -239,6 +241,30 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_the_connection_of_a_removed_client_is_closed():
+    """Guards against connections to daemons that are not called any more."""
+    network = TcpNetwork('127.0.0.1')
+    server = PeerServer(network, Secret('fleet'), VmId('server'))
+    server.register('echo', _delayed_echo)
+    daemon = VmId('server')
+    async with anyio.create_task_group() as tasks:
+        address = await tasks.start(server.serve, LOCAL)
+        clients = PeerClients(network, Secret('fleet'), VmId('caller'))
+        tasks.start_soon(clients.run)
+        await anyio.lowlevel.checkpoint()
+        clients.add(daemon, address)
+        removed = clients[daemon]
+        assert await removed.call('echo', b'0', 5.0) == b'caller:0'
+        clients.remove(daemon)
+        with anyio.fail_after(5.0):
+            while removed.is_connected:
+                await anyio.sleep(0.01)
+        assert daemon not in clients
+        clients.add(daemon, address)
+        assert await clients[daemon].call('echo', b'0', 5.0) == b'caller:0'
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_wrong_secret_gets_no_connection():
     server, make_client = _make_server_and_client_factory('s', 'other')
     async with anyio.create_task_group() as tasks:
