Let peer connections carry reserved answers and read large ones slowly

Each of the up to 256 answers that wait for a peer was held encoded, and nothing was reserved for them. A frame that a peer did not read whole within 2 s closed the connection; an answer of 1.5 MB on a loaded machine did, and all calls on the connection were lost.

A handler may now return an answer with its reservation, which ends when the answer was sent. Frames are encoded when it is their turn, and the limit of 2 s is for each 64 KiB. A client of peers reserves the frame that it receives and drops an answer that its call has no room for.

--- a/libs/net/siskinsail_net/__init__.py
+++ b/libs/net/siskinsail_net/__init__.py
@@ -29,6 +29,8 @@
 from ._network import Network as Network
 from ._network import serve_connections as serve_connections
 from ._network import TcpNetwork as TcpNetwork
+from ._peer_client import ANSWER_COPIES as ANSWER_COPIES
+from ._peer_client import AnswerDroppedError as AnswerDroppedError
 from ._peer_client import CONNECT_TIMEOUT_S as CONNECT_TIMEOUT_S
 from ._peer_client import PeerCallError as PeerCallError
 from ._peer_client import PeerClient as PeerClient
@@ -49,4 +51,5 @@
 from ._peer_server import CallHandler as CallHandler
 from ._peer_server import HANDSHAKE_TIMEOUT_S as HANDSHAKE_TIMEOUT_S
 from ._peer_server import MAX_CALLS_IN_FLIGHT as MAX_CALLS_IN_FLIGHT
+from ._peer_server import PeerAnswer as PeerAnswer
 from ._peer_server import PeerServer as PeerServer
--- a/libs/net/siskinsail_net/_peer_client.py
+++ b/libs/net/siskinsail_net/_peer_client.py
@@ -5,6 +5,9 @@
 import anyio
 import anyio.abc
 
+from siskinsail_budget import GroupName
+from siskinsail_budget import MemoryBudget
+from siskinsail_budget import Reservation
 from siskinsail_telemetry import log_event
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
@@ -40,6 +43,24 @@
 MIN_READ_TIMEOUT_CHECK_S = 0.5
 
 
+ANSWER_COPIES = 2
+"""Copies of a response that exist while it is decoded."""
+
+
+class AnswerDroppedError(SiskinsailError):
+    """No memory was left for the answer of the peer.
+
+    Parameters
+    ----------
+    size_bytes : int
+        Memory that the answer would have needed.
+    """
+
+    def __init__(self, size_bytes: int) -> None:
+        super().__init__('no memory is left for the answer')
+        self.size_bytes = size_bytes
+
+
 class PeerCallError(SiskinsailError):
     """The peer answered an RPC with an error.
 
@@ -58,11 +79,23 @@
 
 
 class _PendingCall:
-    def __init__(self) -> None:
+    def __init__(self, reservation: Reservation | None) -> None:
+        self._reservation = reservation
         self.done = anyio.Event()
         self.response: Frame | None = None
         self.error: SiskinsailError | None = None
 
+    def resolve(self, response: Frame) -> None:
+        """End the call; drop the response if no memory is left for it."""
+        size_bytes = len(response.payload) * ANSWER_COPIES
+        if self._reservation is None or self._reservation.try_resize(
+            size_bytes
+        ):
+            self.response = response
+        else:
+            self.error = AnswerDroppedError(size_bytes)
+        self.done.set()
+
 
 class PeerClient:
     """RPC client of one other daemon, with automatic reconnection.
@@ -85,6 +118,9 @@
         when no frame arrives for this time although calls are pending.
     clock : Clock or None
         Source of time; the system clock by default.
+    memory : MemoryBudget or None
+        Memory budget of the process, for frames while they are received;
+        None for no limit.
     """
 
     def __init__(
@@ -96,7 +132,9 @@
         *,
         read_timeout_s: float = READ_TIMEOUT_S,
         clock: Clock | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = memory
         self._network = network
         self._read_timeout_s = read_timeout_s
         self._clock = clock or SystemClock()
@@ -171,12 +209,26 @@
             await anyio.sleep(RECONNECT_DELAY_S)
 
     async def call(
-        self, method: str, payload: bytes, timeout_s: float
+        self,
+        method: str,
+        payload: bytes,
+        timeout_s: float,
+        reservation: Reservation | None = None,
     ) -> bytes:
         """Call ``method`` and return the payload of the response.
 
+        Parameters
+        ----------
+        reservation : Reservation or None
+            Memory of the call, which is resized for the response; None for
+            no limit.
+
         Raises
         ------
+        AnswerDroppedError
+            If there is no memory for the response.
+        LimitExceededError
+            If the call is too large to be sent.
         TransportError
             If the connection is lost before the response arrives.
         CallTimeoutError
@@ -186,7 +238,7 @@
         """
         request_id = self._next_id
         self._next_id += 1
-        pending = _PendingCall()
+        pending = _PendingCall(reservation)
         try:
             with anyio.fail_after(timeout_s):
                 await self._connected.wait()
@@ -233,6 +285,12 @@
         try:
             with anyio.fail_after(AUTHENTICATION_TIMEOUT_S):
                 await self._authenticate(frames)
+            if self._memory is not None:
+                frames.accept_large_frames(
+                    self._memory.reserve_nothing(
+                        GroupName(f'peer {self._remote}')
+                    )
+                )
             self._frames = frames
             self._connection_generation += 1
             self._failed_attempts = 0
@@ -258,6 +316,8 @@
                     frame = await frames.receive()
                     self._waiting_since_s = None
                     self._resolve_call(frame)
+                    # Not kept while the next frame is awaited.
+                    del frame
                     # The remaining pending calls wait from now on.
                     if self._pending:
                         self._waiting_since_s = self._clock.now_s()
@@ -325,8 +385,7 @@
         pending = self._pending.pop(frame.request_id, None)
         # The response to a call that has timed out is discarded.
         if pending is not None:
-            pending.response = frame
-            pending.done.set()
+            pending.resolve(frame)
 
     def _fail_pending(self) -> None:
         for pending in self._pending.values():
--- a/libs/net/siskinsail_net/_peer_frame.py
+++ b/libs/net/siskinsail_net/_peer_frame.py
@@ -20,6 +20,8 @@
 from siskinsail_types import Secret
 from siskinsail_types import VersionMismatchError
 
+from ._bounded_stream import PIECE_BYTES
+
 PROTOCOL_VERSION = 3
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_HANDSHAKE_BYTES = 4096
@@ -33,7 +35,8 @@
 _COMPRESSION_LEVEL = 6
 # Limits the memory that a small compressed input of a peer can allocate.
 _MAX_INFLATED_CHUNK_BYTES = 256 * 1024
-# A connection whose peer does not read for this time is closed.
+# A connection whose peer does not read a part of a frame in this time is
+# closed.
 _SEND_TIMEOUT_S = 2.0
 
 capnp.remove_import_hook()
@@ -185,8 +188,9 @@
 
     async def send(self, frame: Frame) -> None:
         """Send one complete frame."""
-        data = encode_frame(frame)
         async with self._send_lock:
+            # Encoded frames that wait for their turn would take memory.
+            data = encode_frame(frame)
             if self._compressor is None:
                 await self._stream.send(data)
                 return
@@ -197,13 +201,23 @@
             # Compressed data must be sent completely, even if the caller is
             # cancelled, since later frames refer to it.
             self._is_broken = True
-            with anyio.move_on_after(_SEND_TIMEOUT_S, shield=True):
-                await self._stream.send(data)
-                self._is_broken = False
+            self._is_broken = not await self._send_in_time(data)
             if self._is_broken:
                 await self.aclose()
                 raise anyio.BrokenResourceError
 
+    async def _send_in_time(self, data: bytes) -> bool:
+        """Send data; return False if the peer does not read a part in time.
+
+        A large frame may take longer in total on a slow link.
+        """
+        for start in range(0, len(data), PIECE_BYTES):
+            with anyio.move_on_after(_SEND_TIMEOUT_S, shield=True) as scope:
+                await self._stream.send(data[start : start + PIECE_BYTES])
+            if scope.cancelled_caught:
+                return False
+        return True
+
     async def receive(self) -> Frame:
         """Receive one frame.
 
--- a/libs/net/siskinsail_net/_peer_server.py
+++ b/libs/net/siskinsail_net/_peer_server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 import secrets
+from typing import NamedTuple
 
 import anyio
 import anyio.abc
@@ -40,7 +41,20 @@
 # Copies of a call and its answer that exist while it runs.
 _CALL_COPIES = 2
 
-CallHandler = Callable[[VmId, bytes], Awaitable[bytes]]
+
+class PeerAnswer(NamedTuple):
+    """Answer to a call, with the memory that it takes until it is sent."""
+
+    payload: bytes
+    reservation: Reservation
+
+
+CallHandler = Callable[[VmId, bytes], Awaitable[bytes | PeerAnswer]]
+
+
+class _Response(NamedTuple):
+    frame: Frame
+    reservation: Reservation | None = None
 
 
 class PeerServer:
@@ -78,6 +92,7 @@
     def register(self, method: str, handler: CallHandler) -> None:
         """Register ``handler(caller, payload)`` for calls of ``method``.
 
+        The reservation of a ``PeerAnswer`` is closed when it was sent.
         A ``SiskinsailError`` raised by the handler is raised at the caller
         as ``PeerCallError``.
         """
@@ -202,32 +217,45 @@
         reservation: Reservation,
     ) -> None:
         try:
-            response = await self._run_handler(caller, request)
-            await frames.send(response)
+            answer = await self._run_handler(caller, request)
+            try:
+                await frames.send(answer.frame)
+            finally:
+                if answer.reservation is not None:
+                    answer.reservation.close()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
         finally:
             reservation.close()
             in_flight.release()
 
-    async def _run_handler(self, caller: VmId, request: Frame) -> Frame:
+    async def _run_handler(self, caller: VmId, request: Frame) -> _Response:
         handler = self._handlers.get(request.method)
         if handler is None:
             message = f'unknown method {request.method!r}'
-            return _failure_frame(request.request_id, 'ProtocolError', message)
+            return _Response(
+                _failure_frame(request.request_id, 'ProtocolError', message)
+            )
         try:
-            payload = await handler(caller, request.payload)
+            answer = await handler(caller, request.payload)
         except SiskinsailError as error:
-            return _failure_frame(
-                request.request_id, type(error).__name__, str(error)
+            return _Response(
+                _failure_frame(
+                    request.request_id, type(error).__name__, str(error)
+                )
             )
         except Exception as error:
             # One call must not end the process and all other calls.
             record_unexpected_error('peer_call', error)
-            return _failure_frame(
-                request.request_id, 'InternalError', 'internal error'
+            return _Response(
+                _failure_frame(
+                    request.request_id, 'InternalError', 'internal error'
+                )
             )
-        return Frame(FrameKind.ANSWER, request.request_id, '', payload)
+        if isinstance(answer, PeerAnswer):
+            frame = _answer_frame(request.request_id, answer.payload)
+            return _Response(frame, answer.reservation)
+        return _Response(_answer_frame(request.request_id, answer))
 
     async def _refuse_peer(
         self, frames: FrameStream, error: ProtocolError
@@ -249,5 +277,9 @@
     return GroupName(f'peer {caller}')
 
 
+def _answer_frame(request_id: int, payload: bytes) -> Frame:
+    return Frame(FrameKind.ANSWER, request_id, '', payload)
+
+
 def _failure_frame(request_id: int, error_type: str, message: str) -> Frame:
     return Frame(FrameKind.FAILURE, request_id, error_type, message.encode())
--- /dev/null
+++ b/libs/net/tests/test_peer_memory.py
@@ -0,0 +1,81 @@
+"""Calls between daemons stay within the memory budget.
+
+Fails if a response is taken although no memory is left for it, or if the
+memory of a response is released before it was sent.
+"""
+
+import anyio
+import pytest
+
+from siskinsail_budget import BudgetSettings
+from siskinsail_budget import GroupName
+from siskinsail_budget import MemoryBudget
+from siskinsail_net import AnswerDroppedError
+from siskinsail_net import PeerAnswer
+from siskinsail_net import PeerClient
+from siskinsail_net import PeerServer
+from siskinsail_net import TcpNetwork
+from siskinsail_types import Address
+from siskinsail_types import Secret
+from siskinsail_types import VmId
+
+pytestmark = pytest.mark.anyio
+
+MIB = 1024 * 1024
+NETWORK = TcpNetwork('127.0.0.1')
+GROUP = GroupName('account agents')
+
+
+def make_budget():
+    """Return a budget with 10 MiB for one group."""
+    return MemoryBudget(BudgetSettings(memory_mb=100, wait_s=0.05))
+
+
+async def start(tasks, handler, memory=None):
+    server = PeerServer(NETWORK, Secret('s'), VmId('server'))
+    server.register('read', handler)
+    address = await tasks.start(server.serve, Address('127.0.0.1', 0))
+    client = PeerClient(
+        NETWORK, address, Secret('s'), VmId('client'), memory=memory
+    )
+    tasks.start_soon(client.run)
+    return client
+
+
+async def test_a_response_without_room_is_dropped_and_others_arrive():
+    async def read(caller, payload):
+        return b'x' * int(payload)
+
+    memory = make_budget()
+    async with anyio.create_task_group() as tasks:
+        client = await start(tasks, read, memory)
+        other = memory.reserve_nothing(GROUP)
+        assert other.try_resize(9 * MIB)
+        reservation = memory.reserve_nothing(GROUP)
+        with pytest.raises(AnswerDroppedError):
+            await client.call('read', str(MIB).encode(), 5.0, reservation)
+        small = await client.call('read', b'1000', 5.0, reservation)
+        assert len(small) == 1000
+        other.close()
+        large = await client.call('read', str(MIB).encode(), 5.0, reservation)
+        assert len(large) == MIB
+        assert memory.group_bytes(GROUP) >= MIB
+        tasks.cancel_scope.cancel()
+
+
+async def test_the_memory_of_a_response_is_released_when_it_was_sent():
+    memory = make_budget()
+
+    async def read(caller, payload):
+        reservation = memory.reserve_nothing(GROUP)
+        assert reservation.try_resize(MIB)
+        return PeerAnswer(b'x' * MIB, reservation)
+
+    async with anyio.create_task_group() as tasks:
+        client = await start(tasks, read)
+        response = await client.call('read', b'', 5.0)
+        assert len(response) == MIB
+        with anyio.fail_after(5.0):
+            while memory.used_bytes:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
