Reserve memory for forwarded calls and the answers of holders

Answers of holders, and session values and prepared statements that came with forwarded calls, were not counted. Callers that did not read, or peers that sent large values, filled the memory of the process.

A forwarded call waits until its account has room for its values and an answer as large as the recent ones; an answer without room is dropped. The holder keeps the reservation of rows until the answer was sent, and its connections forget more than 64 KiB of values after each statement.

--- a/libs/statements/siskinsail_statements/_connection.py
+++ b/libs/statements/siskinsail_statements/_connection.py
@@ -1,6 +1,7 @@
 """Database connection that is shared by sessions of a client account."""
 
 from collections.abc import Mapping
+import math
 import sys
 
 from returns.result import Failure
@@ -60,9 +61,17 @@
     reservation : Reservation or None
         Memory of the values. Connections that keep the values refer to it,
         so that it is released after the last one has discarded them.
+    max_kept_bytes : float
+        Size of values and prepared statements up to which a connection keeps
+        them after a statement.
     """
 
-    def __init__(self, reservation: Reservation | None = None) -> None:
+    def __init__(
+        self,
+        reservation: Reservation | None = None,
+        max_kept_bytes: float = math.inf,
+    ) -> None:
+        self.max_kept_bytes = max_kept_bytes
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedQuery] = {}
         self.reservation = reservation
@@ -129,6 +138,10 @@
         self._account = account
         self._values: dict[str, str] = {}
         self._prepared: dict[PreparedQuery, str] = {}
+        # Whether the database has values or prepared statements that are not
+        # in these dictionaries any more.
+        self._has_unknown_values = False
+        self._prepared_count = 0
         # Memory of the values and prepared statements of other sessions that
         # this connection keeps.
         self._reservations: set[Reservation] = set()
@@ -255,7 +268,13 @@
     ) -> list[Command]:
         """Return a command, preceded by the commands that it depends on."""
         statement = command.statement
-        commands = self._sync_values(variables.values)
+        if self._has_unknown_values and (
+            isinstance(statement, Begin) or not self._is_in_transaction
+        ):
+            commands = self._discard()
+            commands += self._sync_values(variables.values)
+        else:
+            commands = self._sync_values(variables.values)
         if variables.reservation is not None and (
             variables.reservation.is_charged
         ):
@@ -264,25 +283,47 @@
             query = variables.prepared[statement.name]
             name = self._prepared.get(query)
             if name is None:
-                name = f'p{len(self._prepared)}'
+                name = f'p{self._prepared_count}'
+                self._prepared_count += 1
                 self._prepared[query] = name
                 commands.append(Command(Prepare(name, query)))
             execute = Execute(name, statement.arguments)
             command = command._replace(statement=execute)
         commands.append(command)
+        if self._kept_bytes(variables) > variables.max_kept_bytes:
+            self._forget()
         return commands
 
+    def _kept_bytes(self, variables: SessionVariables) -> int:
+        if variables.max_kept_bytes == math.inf:
+            return 0
+        values_bytes = sum(map(len, self._values.values()))
+        return values_bytes + sum(len(query.text) for query in self._prepared)
+
+    def _forget(self) -> None:
+        """Keep no values; the database discards them later."""
+        self._values.clear()
+        self._prepared.clear()
+        self._reservations.clear()
+        self._has_unknown_values = True
+
+    def _discard(self) -> list[Command]:
+        """Forget all values; return the command to the database."""
+        self._forget()
+        self._has_unknown_values = False
+        self._prepared_count = 0
+        return [Command(Discard())]
+
     def _sync_values(self, values: Mapping[str, str]) -> list[Command]:
         commands: list[Command] = []
         has_stale_values = any(name not in values for name in self._values)
-        has_too_many_prepared = len(self._prepared) >= _MAX_PREPARED_STATEMENTS
+        has_too_many_prepared = (
+            self._prepared_count >= _MAX_PREPARED_STATEMENTS
+        )
         if has_stale_values or (
             has_too_many_prepared and not self._is_in_transaction
         ):
-            commands.append(Command(Discard()))
-            self._values.clear()
-            self._prepared.clear()
-            self._reservations.clear()
+            commands += self._discard()
         for name, value in values.items():
             if self._values.get(name) != value:
                 commands.append(Command(SetValue(name, value)))
--- a/libs/statements/siskinsail_statements/_forwarded_connection.py
+++ b/libs/statements/siskinsail_statements/_forwarded_connection.py
@@ -17,13 +17,13 @@
 from ._connection import NotRunError
 from ._connection import SessionVariables
 from ._forwarder import Forwarder
+from ._forwarder import HolderAnswer
 from ._forwarder import HolderLostError
 from ._forwarder import HolderUnavailableError
 from ._forwarding_codec import not_run_cause
 from ._forwarding_codec import reply_of
 from ._forwarding_codec import statement_parts
 from ._forwarding_messages import ForwardedAction
-from ._forwarding_messages import ForwardedAnswer
 from ._forwarding_messages import ForwardedCall
 from ._forwarding_messages import ForwardedOutcome
 from ._forwarding_messages import NotRunReason
@@ -252,7 +252,7 @@
             except HolderLostError as error:
                 return Failure(ConnectionFailedError(str(error)))
             else:
-                if answer.reason is not NotRunReason.DRAINING:
+                if answer.message.reason is not NotRunReason.DRAINING:
                     return self._handle_answer(daemon, answer)
                 self._forwarder.avoid(daemon, 'draining')
                 unavailable = HolderUnavailableError('draining')
@@ -261,8 +261,9 @@
         return Failure(NotRunError(unavailable))
 
     def _handle_answer(
-        self, daemon: ServingDaemon, answer: ForwardedAnswer
+        self, daemon: ServingDaemon, received: HolderAnswer
     ) -> ExchangeResult:
+        answer = received.message
         if answer.outcome is ForwardedOutcome.NOT_RUN:
             if answer.reason is NotRunReason.TRANSACTION_UNKNOWN:
                 self._transaction = 0
@@ -277,10 +278,11 @@
             self._transaction = answer.transaction
             self._holders = (daemon,)
         try:
-            return Success(reply_of(answer))
+            reply = reply_of(answer)
         except ValueError as error:
             # An error code or a state of another version.
             return Failure(ConnectionFailedError(str(error)))
+        return Success(reply._replace(reservation=received.reservation))
 
 
 def _holder_timeout_s(timeout_s: float) -> float:
--- a/libs/statements/siskinsail_statements/_forwarder.py
+++ b/libs/statements/siskinsail_statements/_forwarder.py
@@ -1,12 +1,17 @@
 """Calls of the daemons that hold connections to databases."""
 
+from typing import NamedTuple
 from typing import Protocol
 
 import anyio
 import anyio.abc
+import msgspec
 from prometheus_client import CollectorRegistry
 
 from siskinsail_backend import DatabaseError
+from siskinsail_budget import BudgetSettings
+from siskinsail_budget import MemoryBudget
+from siskinsail_budget import Reservation
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import ServingDaemon
 from siskinsail_catalogue import View
@@ -16,6 +21,8 @@
 from siskinsail_holders import HolderHealth
 from siskinsail_holders import HolderSettings
 from siskinsail_load import LoadTable
+from siskinsail_net import ANSWER_COPIES
+from siskinsail_net import AnswerDroppedError
 from siskinsail_net import Network
 from siskinsail_net import PeerCallError
 from siskinsail_net import PeerClient
@@ -24,16 +31,20 @@
 from siskinsail_types import Address
 from siskinsail_types import Clock
 from siskinsail_types import DatabaseId
+from siskinsail_types import LimitExceededError
 from siskinsail_types import ProtocolError
 from siskinsail_types import Secret
 from siskinsail_types import TransportError
 from siskinsail_types import VmId
 
+from ._call_memory import CallMemory
+from ._call_memory import rows_bytes
 from ._forwarding_messages import decode_answer
 from ._forwarding_messages import encode_call
 from ._forwarding_messages import FORWARD_METHOD
 from ._forwarding_messages import ForwardedAnswer
 from ._forwarding_messages import ForwardedCall
+from ._forwarding_messages import ForwardedOutcome
 from ._load_balancer import HolderLoadBalancer
 
 # Ten round trips between regions, in which a first connection is established.
@@ -63,6 +74,19 @@
         super().__init__('holder_lost', message)
 
 
+class HolderAnswer(NamedTuple):
+    """Answer of a holder, with the memory of its rows.
+
+    Parameters
+    ----------
+    reservation : Reservation or None
+        None if the answer is small.
+    """
+
+    message: ForwardedAnswer
+    reservation: Reservation | None
+
+
 class HolderClient(Protocol):
     """Client of one holder; ``PeerClient`` implements it."""
 
@@ -81,7 +105,11 @@
         ...
 
     async def call(
-        self, method: str, payload: bytes, timeout_s: float
+        self,
+        method: str,
+        payload: bytes,
+        timeout_s: float,
+        reservation: Reservation | None = None,
     ) -> bytes:
         """Call a method and return the payload of the answer."""
         ...
@@ -100,11 +128,19 @@
         Name of this daemon.
     clock : Clock
         Source of time.
+    memory : MemoryBudget or None
+        Memory budget of the process; None for no limit.
     """
 
     def __init__(
-        self, network: Network, secret: Secret, own: VmId, clock: Clock
+        self,
+        network: Network,
+        secret: Secret,
+        own: VmId,
+        clock: Clock,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = memory
         self._network = network
         self._secret = secret
         self._own = own
@@ -126,6 +162,7 @@
                 self._own,
                 read_timeout_s=_READ_TIMEOUT_S,
                 clock=self._clock,
+                memory=self._memory,
             )
             self._clients[daemon] = client
             if self._tasks is not None:
@@ -178,6 +215,8 @@
         Connections to holders.
     clock : Clock
         Source of time.
+    memory : MemoryBudget or None
+        Memory budget of the process; None for no limit.
     """
 
     def __init__(
@@ -187,7 +226,9 @@
         views: ViewSource,
         clients: HolderClients,
         clock: Clock,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = CallMemory(memory or MemoryBudget(BudgetSettings()))
         self._settings = settings
         self._own = own
         self._views = views
@@ -278,16 +319,43 @@
 
     async def call(
         self, daemon: ServingDaemon, call: ForwardedCall, timeout_s: float
-    ) -> ForwardedAnswer:
+    ) -> HolderAnswer:
         """Call a holder.
 
         Raises
         ------
         HolderUnavailableError
-            If there is no connection to the holder.
+            If there is no connection to the holder, or no memory for the
+            call.
         HolderLostError
-            If the holder does not answer.
+            If the holder does not answer, or no memory is left for its
+            answer.
         """
+        started_s = self._clock.now_s()
+        client = await self._connected_client(daemon, timeout_s)
+        reservation = await self._memory.reserve(call, timeout_s)
+        if reservation is None:
+            raise HolderUnavailableError('no memory is left for the call')
+        timeout_s -= self._clock.now_s() - started_s
+        if timeout_s < _MIN_CALL_S:
+            raise HolderUnavailableError('too little time is left for a call')
+        if call.timeout_s > timeout_s:
+            call = msgspec.structs.replace(call, timeout_s=timeout_s)
+        sent_s = self._clock.now_s()
+        answer = await self._exchange(
+            daemon, client, call, timeout_s, reservation
+        )
+        self._health.record_answer(daemon.vm)
+        if self._balancer is not None:
+            call_s = self._clock.now_s() - sent_s
+            self._balancer.record_answer(daemon.vm, call, answer, call_s)
+        return HolderAnswer(
+            answer, reservation if reservation.is_charged else None
+        )
+
+    async def _connected_client(
+        self, daemon: ServingDaemon, timeout_s: float
+    ) -> HolderClient:
         if timeout_s < _MIN_CALL_S:
             raise HolderUnavailableError('too little time is left for a call')
         client = self._clients.client(daemon)
@@ -297,23 +365,51 @@
         ):
             self._record_failure(daemon, 'no connection')
             raise HolderUnavailableError(f'no connection to {daemon.vm}')
-        sent_s = self._clock.now_s()
+        return client
+
+    async def _exchange(
+        self,
+        daemon: ServingDaemon,
+        client: HolderClient,
+        call: ForwardedCall,
+        timeout_s: float,
+        reservation: Reservation,
+    ) -> ForwardedAnswer:
         try:
             payload = await client.call(
-                FORWARD_METHOD, encode_call(call), timeout_s
+                FORWARD_METHOD, encode_call(call), timeout_s, reservation
             )
             answer = decode_answer(payload)
+        except LimitExceededError as error:
+            raise HolderUnavailableError(str(error)) from error
+        except AnswerDroppedError as error:
+            self._memory.record_answer(call.account, error.size_bytes)
+            self._log_dropped(call, error.size_bytes)
+            raise HolderLostError(str(error)) from error
         except (TransportError, ProtocolError, PeerCallError) as error:
             # A call with little time left says nothing about the holder.
             if timeout_s >= self._settings.unanswered_s:
                 self._record_failure(daemon, str(error))
             raise HolderLostError(str(error)) from error
-        self._health.record_answer(daemon.vm)
-        if self._balancer is not None:
-            call_s = self._clock.now_s() - sent_s
-            self._balancer.record_answer(daemon.vm, call, answer, call_s)
+        size_bytes = rows_bytes(answer.rows)
+        # A refusal tells nothing about the answers of the account.
+        if answer.outcome is ForwardedOutcome.ANSWERED and not answer.error:
+            self._memory.record_answer(
+                call.account, max(size_bytes, len(payload) * ANSWER_COPIES)
+            )
+        if not reservation.try_resize(size_bytes):
+            self._log_dropped(call, size_bytes)
+            raise HolderLostError('no memory is left for the answer')
         return answer
 
+    def _log_dropped(self, call: ForwardedCall, size_bytes: int) -> None:
+        log_event(
+            'holder_answer_dropped',
+            request=call.request_id,
+            account=call.account,
+            size_bytes=size_bytes,
+        )
+
     def avoid(self, daemon: ServingDaemon, reason: str) -> None:
         """Avoid a holder that refuses to run statements."""
         self._record_failure(daemon, reason)
--- a/libs/statements/siskinsail_statements/_forwarding_codec.py
+++ b/libs/statements/siskinsail_statements/_forwarding_codec.py
@@ -96,10 +96,16 @@
 
 
 def called_statement(
-    call: ForwardedCall,
+    call: ForwardedCall, max_kept_bytes: float
 ) -> tuple[SessionVariables, Query | Execute]:
-    """Return the session values and the statement of a call."""
-    variables = called_variables(call)
+    """Return the session values and the statement of a call.
+
+    Parameters
+    ----------
+    max_kept_bytes : float
+        Size up to which a connection keeps the values after the call.
+    """
+    variables = called_variables(call, max_kept_bytes)
     if not call.is_prepared:
         return variables, Query(call.text, call.is_write)
     variables.prepared[_PREPARED_NAME] = PreparedQuery(
@@ -108,9 +114,11 @@
     return variables, Execute(_PREPARED_NAME, call.arguments)
 
 
-def called_variables(call: ForwardedCall) -> SessionVariables:
+def called_variables(
+    call: ForwardedCall, max_kept_bytes: float
+) -> SessionVariables:
     """Return the session values of a call."""
-    variables = SessionVariables()
+    variables = SessionVariables(max_kept_bytes=max_kept_bytes)
     variables.values.update((item.name, item.value) for item in call.values)
     return variables
 
--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -2,14 +2,18 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
+from typing import NamedTuple
 
 import anyio
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from siskinsail_budget import Reservation
 from siskinsail_catalogue import ViewSource
 from siskinsail_lifecycle import StopPhase
+from siskinsail_net import PeerAnswer
 from siskinsail_types import Clock
 from siskinsail_types import Consistency
 from siskinsail_types import LeaseState
@@ -63,7 +67,17 @@
 # The daemon of the caller ends an idle transaction this much earlier.
 _TRANSACTION_IDLE_MARGIN_S = 1.0
 
-_Act = Callable[[VmId, ForwardedCall], Awaitable[ForwardedAnswer]]
+
+class _RowsAnswer(NamedTuple):
+    """Answer with rows, and the memory that was reserved for them."""
+
+    message: ForwardedAnswer
+    reservation: Reservation | None
+
+
+_Act = Callable[
+    [VmId, ForwardedCall], Awaitable[ForwardedAnswer | _RowsAnswer]
+]
 
 
 class HolderService:
@@ -92,6 +106,9 @@
         Counts forwarded statements.
     loads : HolderLoads or None
         Figures that the answers carry; None for answers without figures.
+    max_kept_bytes : float
+        Size of session values and prepared statements up to which a
+        connection keeps them after a call.
     """
 
     def __init__(
@@ -104,7 +121,9 @@
         clock: Clock,
         metrics: StatementMetrics,
         loads: HolderLoads | None = None,
+        max_kept_bytes: float = math.inf,
     ) -> None:
+        self._max_kept_bytes = max_kept_bytes
         self._views = views
         self._pools = pools
         self._primaries = primaries
@@ -154,9 +173,11 @@
             with anyio.CancelScope(shield=True):
                 await self._transactions.close()
 
-    async def handle(self, caller: VmId, payload: bytes) -> bytes:
+    async def handle(self, caller: VmId, payload: bytes) -> bytes | PeerAnswer:
         """Answer one call of another daemon.
 
+        The memory of rows stays reserved until the answer was sent.
+
         Raises
         ------
         ProtocolError
@@ -169,13 +190,21 @@
             return self._encode(call, answer, received_s)
         self._running += 1
         try:
-            answer = await self._actions[call.action](caller, call)
+            answered_call = await self._actions[call.action](caller, call)
         finally:
             self._running -= 1
+        reservation = None
+        if isinstance(answered_call, _RowsAnswer):
+            answer, reservation = answered_call
+        else:
+            answer = answered_call
         self._metrics.forwarded.labels(
             call.action.value, answer.outcome.value
         ).inc()
-        return self._encode(call, answer, received_s)
+        encoded = self._encode(call, answer, received_s)
+        if reservation is None:
+            return encoded
+        return PeerAnswer(encoded, reservation)
 
     def _encode(
         self, call: ForwardedCall, answer: ForwardedAnswer, received_s: float
@@ -212,8 +241,8 @@
 
     async def _run_single(
         self, caller: VmId, call: ForwardedCall
-    ) -> ForwardedAnswer:
-        variables, statement = called_statement(call)
+    ) -> ForwardedAnswer | _RowsAnswer:
+        variables, statement = called_statement(call, self._max_kept_bytes)
         operation = self._make_operation(call, variables)
         send = query_function(operation, statement)
         target = self._target(call, operation)
@@ -224,13 +253,14 @@
         )
         self._record_wait(call, operation, attempt)
         if isinstance(attempt, Success):
-            return answered(attempt.unwrap())
+            reply = attempt.unwrap()
+            return _RowsAnswer(answered(reply), reply.reservation)
         return self._failed(operation, target, attempt.failure())
 
     async def _begin(
         self, caller: VmId, call: ForwardedCall
     ) -> ForwardedAnswer:
-        variables = called_variables(call)
+        variables = called_variables(call, self._max_kept_bytes)
         operation = self._make_operation(call, variables)
         kept: list[StatementConnection] = []
         send = begin_function(operation, Begin(call.is_read_only), kept)
@@ -257,11 +287,11 @@
 
     async def _run_in_transaction(
         self, caller: VmId, call: ForwardedCall
-    ) -> ForwardedAnswer:
+    ) -> ForwardedAnswer | _RowsAnswer:
         held = await self._find_usable(caller, call)
         if held is None:
             return transaction_unknown()
-        variables, statement = called_statement(call)
+        variables, statement = called_statement(call, self._max_kept_bytes)
         connection = held.transaction.connection
         result = await self._exchange(
             held,
@@ -276,7 +306,12 @@
             or not self._phase.accepts_work
         ):
             await self._end(call.transaction, held)
-        return exchanged(result)
+        reservation = (
+            result.unwrap().reservation
+            if isinstance(result, Success)
+            else None
+        )
+        return _RowsAnswer(exchanged(result), reservation)
 
     async def _commit(
         self, caller: VmId, call: ForwardedCall
@@ -289,7 +324,9 @@
             held,
             call,
             lambda: connection.commit(
-                called_variables(call), call.request_id, call.timeout_s
+                called_variables(call, self._max_kept_bytes),
+                call.request_id,
+                call.timeout_s,
             ),
         )
         await self._end(call.transaction, held)
--- a/libs/statements/siskinsail_statements/_service.py
+++ b/libs/statements/siskinsail_statements/_service.py
@@ -52,6 +52,10 @@
 from ._session import CallerSession
 from ._settings import StatementSettings
 
+# Session values and prepared statements of other daemons that a connection
+# keeps. Larger ones are sent again with the next statement.
+_MAX_KEPT_BYTES = 64 * 1024
+
 
 def make_statement_pools(
     settings: BackendSettings,
@@ -180,6 +184,7 @@
             clock,
         )
         self._sampler = PositionSampler(settings, runner, primaries, clock)
+        memory = memory or MemoryBudget(BudgetSettings())
         self._holder = HolderService(
             views,
             self._pools,
@@ -189,6 +194,7 @@
             clock,
             metrics,
             holder_loads,
+            _MAX_KEPT_BYTES if memory.settings.is_limited else math.inf,
         )
         self._admission = SessionAdmission(settings, views, limiter, clock)
         self._context = SessionContext(
@@ -198,7 +204,7 @@
             self._sampler,
             clock,
             metrics,
-            memory or MemoryBudget(BudgetSettings()),
+            memory,
         )
 
     @property
--- a/libs/statements/tests/holder_fleet.py
+++ b/libs/statements/tests/holder_fleet.py
@@ -89,7 +89,7 @@
     async def wait_connected(self, timeout_s):
         return self._link.is_connected
 
-    async def call(self, method, payload, timeout_s):
+    async def call(self, method, payload, timeout_s, reservation=None):
         link = self._link
         link.calls += 1
         await anyio.sleep(link.delay_s)
