--- a/libs/control/siskinsail_control/_operator_request_handler.py
+++ b/libs/control/siskinsail_control/_operator_request_handler.py
@@ -145,7 +145,8 @@
     ) -> OperatorAnswer:
         """Replace the whole configuration."""
         try:
-            configuration = decode_configuration(request.body)
+            # The parsed form is not kept while the command is proposed.
+            version = decode_configuration(request.body).version
         except ProtocolError as error:
             return _invalid_answer(
                 str(error), (Mistake('', '', '', str(error)),)
@@ -153,9 +154,7 @@
         command = ReplaceConfiguration(
             request.body, self._context.clock.wall_s()
         )
-        return await self._propose_change(
-            command, f'configuration-{configuration.version}'
-        )
+        return await self._propose_change(command, f'configuration-{version}')
 
     async def _place_data_centre(
         self, request: OperatorRequest
