Limit the size of unpacked frames and of what waits for memory

A frame of 60 KB could unpack to 64 MiB, since only the packed size was limited. A frame may now unpack to 8 MiB; the reader checks the sizes in its header before it allocates memory. A reservation that can never fit is refused at once instead of holding its message for 3 s, and the answer that a forwarded call waits for is expected to need at most half of the share of its account, so that one very large answer does not shut an account out.

--- a/libs/budget/siskinsail_budget/_memory.py
+++ b/libs/budget/siskinsail_budget/_memory.py
@@ -154,10 +154,14 @@
     async def resize(self, size_bytes: int) -> bool:
         """Change the size of the buffer; wait for room if necessary.
 
-        Returns False if there is no room within the time limit.
+        Returns False if there is no room within the time limit, at once if
+        there never can be.
         """
         if self.try_resize(size_bytes):
             return True
+        if not self._can_ever_fit(size_bytes):
+            self._budget.refusals += 1
+            return False
         one = _Waiting(self, self._growth(size_bytes))
         self._budget._waiting.append(one)
         try:
@@ -174,6 +178,10 @@
         """Release all bytes."""
         self._charge(-self._charged_bytes)
 
+    def _can_ever_fit(self, size_bytes: int) -> bool:
+        needed = self._charged_bytes + self._growth(size_bytes)
+        return needed <= self._budget.settings.group_bytes
+
     def _growth(self, size_bytes: int) -> int:
         free_bytes = self._budget.settings.free_bytes
         return max(0, size_bytes - free_bytes) - self._charged_bytes
--- a/libs/budget/tests/test_memory.py
+++ b/libs/budget/tests/test_memory.py
@@ -118,6 +118,14 @@
         kept.close()
 
 
+async def test_what_never_fits_is_refused_at_once():
+    budget = MemoryBudget(BudgetSettings(memory_mb=100, wait_s=math.inf))
+    reservation = budget.reserve_nothing(GroupName('a'))
+    with anyio.fail_after(5.0):
+        assert not await reservation.resize(11 * MIB)
+    assert budget.refusals == 1
+
+
 async def test_what_finds_no_room_in_time_is_refused():
     budget = MemoryBudget(SETTINGS)
     kept, _ = _reserve(budget, 'a', 10)
--- a/libs/net/siskinsail_net/_peer_frame.py
+++ b/libs/net/siskinsail_net/_peer_frame.py
@@ -33,6 +33,10 @@
 _WINDOW_BITS = 12
 _COMPRESSION_MEMORY_LEVEL = 5
 _COMPRESSION_LEVEL = 6
+# Packing makes runs of zero bytes up to a thousand times smaller. Control
+# messages become smaller by a third.
+_MAX_UNPACKED_BYTES = 2 * MAX_FRAME_BYTES
+_CAPNP_WORD_BYTES = 8
 # Limits the memory that a small compressed input of a peer can allocate.
 _MAX_INFLATED_CHUNK_BYTES = 256 * 1024
 # A connection whose peer does not read a part of a frame in this time is
@@ -113,7 +117,11 @@
         If the bytes are not a valid envelope.
     """
     try:
-        envelope = _schema.Envelope.from_bytes_packed(data)
+        # A message over the limit is refused before its memory is allocated.
+        envelope = _schema.Envelope.from_bytes_packed(
+            data,
+            traversal_limit_in_words=_MAX_UNPACKED_BYTES // _CAPNP_WORD_BYTES,
+        )
         get_field = envelope._get_by_field
         version = get_field(_VERSION)
         frame = Frame(
--- a/libs/statements/siskinsail_statements/_call_memory.py
+++ b/libs/statements/siskinsail_statements/_call_memory.py
@@ -19,6 +19,8 @@
 _ROW_OVERHEAD_BYTES = 64
 # An account with one large answer soon waits for memory no longer.
 _DECAY = 0.5
+# Share of the memory of an account that an answer is expected to need at most.
+_MAX_EXPECTED_SHARE = 0.5
 _ACTIONS_WITH_ROWS = frozenset(
     (ForwardedAction.RUN, ForwardedAction.RUN_IN_TRANSACTION)
 )
@@ -66,10 +68,19 @@
             expected_bytes = self._expected_bytes.get(call.account, 0)
         return _call_bytes(call) * _CALL_COPIES + expected_bytes
 
+    @property
+    def _max_expected_bytes(self) -> int:
+        settings = self._memory.settings
+        if not settings.is_limited:
+            return 0
+        return int(settings.group_bytes * _MAX_EXPECTED_SHARE)
+
     def record_answer(self, account: AccountId, size_bytes: int) -> None:
         """Record the memory that an answer needed when it arrived."""
         expected_bytes = self._expected_bytes.pop(account, 0)
         size_bytes = max(size_bytes, int(expected_bytes * _DECAY))
+        # Otherwise an account with a very large answer could call no more.
+        size_bytes = min(size_bytes, self._max_expected_bytes)
         if size_bytes > self._memory.settings.free_bytes:
             self._expected_bytes[account] = size_bytes
 
