Let cancelled calls not wait for the rest of a large frame

With a limit for each piece, a cancelled call could wait for up to 64 pieces of 2 s. The send is shielded for 2 s, as before; a caller that is cancelled later closes the connection, since later frames refer to what was not sent.

New tests: a frame that takes longer in total is sent, a peer that reads nothing is closed, and a cancelled call ends in time.

--- a/libs/net/siskinsail_net/_peer_frame.py
+++ b/libs/net/siskinsail_net/_peer_frame.py
@@ -209,18 +209,27 @@
             # Compressed data must be sent completely, even if the caller is
             # cancelled, since later frames refer to it.
             self._is_broken = True
-            self._is_broken = not await self._send_in_time(data)
+            try:
+                self._is_broken = not await self._send_in_time(data)
+            finally:
+                if self._is_broken:
+                    with anyio.CancelScope(shield=True):
+                        await self.aclose()
             if self._is_broken:
-                await self.aclose()
                 raise anyio.BrokenResourceError
 
     async def _send_in_time(self, data: bytes) -> bool:
         """Send data; return False if the peer does not read a part in time.
 
-        A large frame may take longer in total on a slow link.
+        A large frame may take longer in total on a slow link. Then a caller
+        that is cancelled does not wait for its end.
         """
+        shield_end_s = anyio.current_time() + _SEND_TIMEOUT_S
         for start in range(0, len(data), PIECE_BYTES):
-            with anyio.move_on_after(_SEND_TIMEOUT_S, shield=True) as scope:
+            is_shielded = anyio.current_time() < shield_end_s
+            with anyio.move_on_after(
+                _SEND_TIMEOUT_S, shield=is_shielded
+            ) as scope:
                 await self._stream.send(data[start : start + PIECE_BYTES])
             if scope.cancelled_caught:
                 return False
--- a/libs/net/tests/test_peer_memory.py
+++ b/libs/net/tests/test_peer_memory.py
@@ -1,20 +1,26 @@
 """Calls between daemons stay within the memory budget.
 
 Fails if a response is taken although no memory is left for it, if the memory
-of a response is released before it was sent, or if a small frame takes much
-memory when it is unpacked.
+of a response is released before it was sent, if a small frame takes much
+memory when it is unpacked, or if a peer that reads slowly loses its connection
+or holds up a call for long.
 """
 
+import math
+import os
+
 import anyio
 import pytest
 
 from siskinsail_budget import BudgetSettings
 from siskinsail_budget import GroupName
 from siskinsail_budget import MemoryBudget
+from siskinsail_net import _peer_frame
 from siskinsail_net import AnswerDroppedError
 from siskinsail_net import encode_frame
 from siskinsail_net import Frame
 from siskinsail_net import FrameKind
+from siskinsail_net import FrameStream
 from siskinsail_net import PeerAnswer
 from siskinsail_net import PeerClient
 from siskinsail_net import PeerServer
@@ -102,3 +108,56 @@
     else:
         with pytest.raises(ProtocolError):
             decode_envelope(envelope)
+
+
+class SlowStream:
+    """Stream whose peer takes a time to read each piece."""
+
+    def __init__(self, piece_s):
+        self._piece_s = piece_s
+        self.sent_bytes = 0
+        self.is_closed = False
+
+    async def send(self, data):
+        await anyio.sleep(self._piece_s)
+        self.sent_bytes += len(data)
+
+    async def aclose(self):
+        self.is_closed = True
+
+
+def make_slow_frames(monkeypatch, piece_s):
+    monkeypatch.setattr(_peer_frame, '_SEND_TIMEOUT_S', 0.2)
+    stream = SlowStream(piece_s)
+    frames = FrameStream(stream)
+    frames.start_compression()
+    return stream, frames
+
+
+# Sixteen pieces, which compression does not make smaller.
+LARGE_FRAME = Frame(FrameKind.ANSWER, 1, '', os.urandom(MIB))
+
+
+@pytest.mark.parametrize(
+    ('piece_s', 'is_sent'), [(0.02, True), (math.inf, False)]
+)
+async def test_a_peer_has_time_for_each_piece_of_a_frame(
+    monkeypatch, piece_s, is_sent
+):
+    stream, frames = make_slow_frames(monkeypatch, piece_s)
+    if is_sent:
+        await frames.send(LARGE_FRAME)
+        assert stream.sent_bytes > MIB
+    else:
+        with pytest.raises(anyio.BrokenResourceError):
+            await frames.send(LARGE_FRAME)
+    assert stream.is_closed is not is_sent
+
+
+async def test_a_cancelled_call_does_not_wait_for_a_slow_peer(monkeypatch):
+    stream, frames = make_slow_frames(monkeypatch, 0.15)
+    with anyio.move_on_after(0.01):
+        await frames.send(LARGE_FRAME)
+    assert stream.sent_bytes < MIB / 2
+    # Later frames would refer to the part that was not sent.
+    assert stream.is_closed
