--- a/libs/statements/siskinsail_statements/_forwarder.py
+++ b/libs/statements/siskinsail_statements/_forwarder.py
@@ -5,7 +5,6 @@
 
 import anyio
 import anyio.abc
-import msgspec
 from prometheus_client import CollectorRegistry
 
 from siskinsail_backend import DatabaseError
