--- a/libs/control/siskinsail_control/_control_calls.py
+++ b/libs/control/siskinsail_control/_control_calls.py
@@ -11,7 +11,6 @@
 from siskinsail_net import AddressResolver
 from siskinsail_net import Network
 from siskinsail_net import PeerClient
-from siskinsail_net import PeerClients
 from siskinsail_net import resolve_no_address
 from siskinsail_telemetry import log_event
 from siskinsail_types import Address
@@ -21,6 +20,7 @@
 from siskinsail_types import TransportError
 from siskinsail_types import VmId
 
+from ._cancellation import cancel_when_set
 from ._leader_client import RETRY_DELAY_S
 from ._leader_connection import LeaderConnection
 from ._leader_finder import LeaderFinder
@@ -29,36 +29,17 @@
 from ._messages import BorrowRequest
 from ._messages import decode_message
 from ._messages import encode_message
-from ._messages import RELAY_METHOD
-from ._messages import RelayAnswer
-from ._messages import RelayRequest
-from ._messages import RelayStatus
 from ._messages import Status
 from ._messages import SyncAnswer
 from ._metrics import ControlMetrics
+from ._relay_caller import RelayCaller
 from ._relay_choice import RelayChoice
 from ._settings import ControlSettings
 
-# Ten round trips between regions, in which a connection is established.
-CONNECT_WAIT_S = 0.3
 # Pause between two calls to members while another daemon relays the calls.
 RELAYED_PROBE_INTERVAL_S = 0.25
 
 
-class RelayRefusedError(SiskinsailError):
-    """A daemon did not relay a call.
-
-    Parameters
-    ----------
-    status : RelayStatus
-        The reason.
-    """
-
-    def __init__(self, status: RelayStatus) -> None:
-        super().__init__(status.value)
-        self.status = status
-
-
 @dataclass(frozen=True)
 class DirectPath:
     """Path of calls to a control member."""
@@ -71,10 +52,9 @@
     """Path of calls through another daemon."""
 
     relay: ServingDaemon
-    client: PeerClient
 
 
-Path = DirectPath | RelayedPath
+CallPath = DirectPath | RelayedPath
 
 
 class ControlCalls:
@@ -112,13 +92,12 @@
         resolve: AddressResolver = resolve_no_address,
     ) -> None:
         self._settings = settings
-        self._vm = vm
-        self._clock = clock
-        self._metrics = metrics
         self._finder = LeaderFinder(members, network, secret, vm, resolve)
-        self._relay_clients = PeerClients(network, secret, vm)
+        self._relay_caller = RelayCaller(
+            settings, vm, network, secret, clock, metrics
+        )
         self._choice = RelayChoice(vm, clock)
-        self._path: Path = DirectPath(self._finder.client)
+        self._path: CallPath = DirectPath(self._finder.client)
         self._is_redirected = False
         self._leader_connection: LeaderConnection | None = None
         self._direct_lost = anyio.Event()
@@ -151,7 +130,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._finder.run)
             if self._settings.relays_control_calls:
-                tasks.start_soon(self._relay_clients.run)
+                tasks.start_soon(self._relay_caller.run)
                 tasks.start_soon(self._find_direct_path)
 
     def end_relaying(self) -> None:
@@ -160,18 +139,18 @@
             self._leader_connection.lost.set()
             self._leader_connection = None
 
-    async def choose_path(self) -> Path | None:
+    async def choose_path(self) -> CallPath | None:
         """Choose the path of the next sync call, and of calls meanwhile.
 
         Returns
         -------
-        Path or None
+        CallPath or None
             None if no member could be reached in the time of a call.
         """
         while not self._choice.is_direct:
             candidate = self._choice.next_candidate()
             if candidate is not None:
-                self._path = self._relayed_path(candidate)
+                self._path = RelayedPath(candidate)
                 return self._path
             # The next call to a member may end the pause.
             with anyio.move_on_after(min(self._choice.pause_s, RETRY_DELAY_S)):
@@ -205,7 +184,7 @@
         answer: bytes | SiskinsailError = TransportError('a member answered')
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
-                _cancel_when_set, self._direct_found, tasks.cancel_scope
+                cancel_when_set, self._direct_found, tasks.cancel_scope
             )
             try:
                 answer = await self._call(path, method, payload)
@@ -226,12 +205,12 @@
         """
         relay = self._choice.relay
         if relay is not None:
-            return await self._call(self._relayed_path(relay), method, payload)
+            return await self._call(RelayedPath(relay), method, payload)
         path = DirectPath(self._finder.client)
         return await self._call(path, method, payload)
 
     @singledispatchmethod
-    def record_leader(self, path: Path) -> None:
+    def record_leader(self, path: CallPath) -> None:
         """Record that the leader answered a sync call."""
         raise TypeError(path)
 
@@ -253,7 +232,7 @@
             log_event('control_relay_started', relay=path.relay.vm)
 
     @singledispatchmethod
-    def record_not_registered(self, path: Path) -> None:
+    def record_not_registered(self, path: CallPath) -> None:
         """Record that the leader asked for a registration."""
         raise TypeError(path)
 
@@ -266,7 +245,7 @@
         self.record_leader(path)
 
     @singledispatchmethod
-    def record_failure(self, path: Path) -> bool:
+    def record_failure(self, path: CallPath) -> bool:
         """Record a sync call without an answer.
 
         Returns
@@ -292,7 +271,7 @@
         return True
 
     @singledispatchmethod
-    def record_refusal(self, path: Path, answer: SyncAnswer) -> bool:
+    def record_refusal(self, path: CallPath, answer: SyncAnswer) -> bool:
         """Record a sync call that was answered but not as by a leader.
 
         Returns
@@ -336,22 +315,16 @@
         if was_kept:
             self._end_relay(relay, reason)
         else:
-            self._relay_clients.remove(relay.vm)
+            self._relay_caller.disconnect(relay)
 
     def _end_relay(self, relay: ServingDaemon, reason: str) -> None:
         log_event('control_relay_ended', relay=relay.vm, reason=reason)
-        self._relay_clients.remove(relay.vm)
-
-    def _relayed_path(self, relay: ServingDaemon) -> RelayedPath:
-        address = Address.parse(relay.address)
-        clients = self._relay_clients
-        if relay.vm in clients and clients[relay.vm].remote != address:
-            clients.remove(relay.vm)
-        clients.add(relay.vm, address)
-        return RelayedPath(relay, clients[relay.vm])
+        self._relay_caller.disconnect(relay)
 
     @singledispatchmethod
-    async def _call(self, path: Path, method: str, payload: bytes) -> bytes:
+    async def _call(
+        self, path: CallPath, method: str, payload: bytes
+    ) -> bytes:
         raise TypeError(path)
 
     @_call.register
@@ -362,33 +335,7 @@
 
     @_call.register
     async def _(self, path: RelayedPath, method: str, payload: bytes) -> bytes:
-        try:
-            answer = await self._call_relay(path.client, method, payload)
-        except SiskinsailError:
-            self._count_own_call(method, RelayStatus.UNANSWERED)
-            raise
-        self._count_own_call(method, answer.status)
-        if answer.status is not RelayStatus.OK:
-            raise RelayRefusedError(answer.status)
-        return answer.payload
-
-    async def _call_relay(
-        self, client: PeerClient, method: str, payload: bytes
-    ) -> RelayAnswer:
-        end_s = self._clock.now_s() + self._settings.call_timeout_s
-        if not client.is_connected and not await client.wait_connected(
-            min(CONNECT_WAIT_S, self._settings.call_timeout_s)
-        ):
-            raise TransportError(f'{client.remote}: not connected')
-        timeout_s = end_s - self._clock.now_s()
-        request = RelayRequest(method, payload, self._vm, timeout_s)
-        answer = await client.call(
-            RELAY_METHOD, encode_message(request), timeout_s
-        )
-        return decode_message(RelayAnswer, answer)
-
-    def _count_own_call(self, method: str, status: RelayStatus) -> None:
-        self._metrics.own_relayed_calls.labels(method, status.value).inc()
+        return await self._relay_caller.call(path.relay, method, payload)
 
     async def _find_direct_path(self) -> None:
         """Call the members while they don't answer the sync calls."""
@@ -438,14 +385,6 @@
         if relay is not None:
             self._end_relay(relay, 'member answered')
         self._choice.record_direct_answer()
-        for daemon in self._relay_clients:
-            self._relay_clients.remove(daemon)
+        self._relay_caller.disconnect_all()
         self._direct_lost = anyio.Event()
         self._direct_found.set()
-
-
-async def _cancel_when_set(
-    event: anyio.Event, scope: anyio.CancelScope
-) -> None:
-    await event.wait()
-    scope.cancel()
--- a/libs/control/siskinsail_control/_relay_service.py
+++ b/libs/control/siskinsail_control/_relay_service.py
@@ -9,6 +9,7 @@
 from siskinsail_types import SiskinsailError
 from siskinsail_types import VmId
 
+from ._cancellation import cancel_when_set
 from ._leader_connection import LeaderConnection
 from ._messages import decode_message
 from ._messages import encode_message
@@ -110,7 +111,7 @@
     """
     payload = None
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_cancel_when_lost, connection, tasks.cancel_scope)
+        tasks.start_soon(cancel_when_set, connection.lost, tasks.cancel_scope)
         try:
             payload = await connection.client.call(
                 RELAYED_METHOD, encode_message(request), timeout_s
@@ -119,10 +120,3 @@
             payload = None
         tasks.cancel_scope.cancel()
     return payload
-
-
-async def _cancel_when_lost(
-    connection: LeaderConnection, scope: anyio.CancelScope
-) -> None:
-    await connection.lost.wait()
-    scope.cancel()
--- a/libs/control/siskinsail_control/control.capnp
+++ b/libs/control/siskinsail_control/control.capnp
@@ -7,7 +7,8 @@
   notLeader @1;
   # The daemon must first register with this leader.
   notRegistered @2;
-  # A later call of the same daemon has arrived meanwhile.
+  # A later call of the same daemon has arrived meanwhile, or a later process
+  # of its VM is registered.
   superseded @3;
 }
 
--- a/libs/control/tests/test_relayed_calls.py
+++ b/libs/control/tests/test_relayed_calls.py
@@ -369,10 +369,10 @@
 async def test_connections_to_relays_are_closed_after_a_partition(tmp_path):
     """Guards against connections that grow with each partition."""
     async with RelayFleet.run(tmp_path, 3) as fleet:
-        clients = fleet.daemons['d0'].agent._calls._relay_clients
+        caller = fleet.daemons['d0'].agent._calls._relay_caller
         await fleet.cut('d0')
         await fleet.wait_relayed('d0')
-        assert list(clients)
+        assert caller.connected_daemons
         fleet.heal('d0')
         await wait_until(lambda: fleet.relay_of('d0') is None)
-        assert not list(clients)
+        assert not caller.connected_daemons
