--- a/libs/statements/tests/test_forwarding_times.py
+++ b/libs/statements/tests/test_forwarding_times.py
@@ -89,7 +89,7 @@
             self.connect_s = 0.0
         return self.is_connected
 
-    async def call(self, method, payload, timeout_s):
+    async def call(self, method, payload, timeout_s, reservation=None):
         call = self.received = decode_call(payload)
         if self.drains_after_s is not None:
             self.clock.advance(self.drains_after_s)
