--- a/libs/control/tests/conftest.py
+++ b/libs/control/tests/conftest.py
@@ -146,10 +146,14 @@
         self.agents: dict[str, ControlAgent] = {}
         self.usages: dict[str, FakeUsage] = {}
         self.borrowers: dict[str, Borrower] = {}
+        self.metrics: dict[str, ControlMetrics] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
 
-    async def start_member(self, name: str, usage=None) -> None:
-        server = PeerServer(self.network, SECRET, VmId(name))
+    async def start_member(
+        self, name: str, usage=None, network=None, local: Address = LOCAL
+    ) -> None:
+        network = network or self.network
+        server = PeerServer(network, SECRET, VmId(name))
         state = ControlState()
         self.log.states.append(state)
         limits = LimitSettings()
@@ -159,14 +163,14 @@
             FakeReplica(name, self.log),
             state,
             server,
-            self.network,
+            network,
             self.clock,
             lambda: Lender(limits, self.clock),
             ControlMetrics(prometheus_client.CollectorRegistry()),
             usage=usage,
         )
         self.services[name] = service
-        self.members[VmId(name)] = await self.tasks.start(server.serve, LOCAL)
+        self.members[VmId(name)] = await self.tasks.start(server.serve, local)
         self.tasks.start_soon(service.run)
 
     def start_agent(
@@ -177,8 +181,11 @@
         peer_address: str = '',
         counter=None,
         limits: LimitSettings | None = None,
+        network=None,
     ) -> ControlAgent:
         borrower = Borrower(limits or LimitSettings(), self.clock)
+        metrics = ControlMetrics(prometheus_client.CollectorRegistry())
+        self.metrics[vm] = metrics
         self.borrowers[vm] = borrower
         agent = ControlAgent(
             self.settings,
@@ -189,11 +196,11 @@
                 peer_address=peer_address,
             ),
             self.members,
-            self.network,
+            network or self.network,
             SECRET,
             self.clock,
             borrower,
-            ControlMetrics(prometheus_client.CollectorRegistry()),
+            metrics,
             usage=counter,
         )
         usage = FakeUsage()
