Start a front without the control leader and consensus

Callers saw: after a loss of power of the fleet, each 0.1 s of processor time in the start of a front delayed them by almost 0.3 s.

Cause: siskinsail_control imported the leader, and with it consensus and the

control members, for two functions.

Change: the names of the leader and of its replicated state are imported by _leader_names, which the package loads when one of them is first used (PEP 562, siskinsail_lifecycle.deferred_names). All names stay importable from siskinsail_control, and type checkers see them as before. A role that uses one loads them all with its own imports, before it starts.

Evidence: a front loads 39 modules fewer. The row of the front in platform/tests/test_start.py failed before and passes now. make lint passes; tests of lifecycle, signals and planned stops pass.

--- a/libs/control/siskinsail_control/__init__.py
+++ b/libs/control/siskinsail_control/__init__.py
@@ -1,48 +1,29 @@
 """Control plane: the control leader and the agent of each daemon."""
 
-from ._admin_port import DatabaseAdmin as DatabaseAdmin
-from ._admin_port import FencedDatabase as FencedDatabase
-from ._admin_port import ProbeResult as ProbeResult
+from typing import TYPE_CHECKING
+
+from siskinsail_lifecycle import deferred_names
+
 from ._agent import ControlAgent as ControlAgent
 from ._agent import DaemonIdentity as DaemonIdentity
-from ._commands import AddTokenSecret as AddTokenSecret
-from ._commands import ApplyCatalogue as ApplyCatalogue
-from ._commands import Command as Command
-from ._commands import DecideUsage as DecideUsage
-from ._commands import decode_command as decode_command
-from ._commands import DeregisterDaemon as DeregisterDaemon
-from ._commands import encode_command as encode_command
-from ._commands import FinishPrimaryChange as FinishPrimaryChange
-from ._commands import LeaderStarted as LeaderStarted
-from ._commands import PlaceDataCentre as PlaceDataCentre
-from ._commands import RegisterDaemon as RegisterDaemon
-from ._commands import RegisterGroup as RegisterGroup
-from ._commands import ReplaceConfiguration as ReplaceConfiguration
-from ._commands import StartPrimaryChange as StartPrimaryChange
-from ._commands import SuspendDaemon as SuspendDaemon
-from ._connection_lender import ConnectionLender as ConnectionLender
-from ._connection_lender import shares_by_demand as shares_by_demand
-from ._daemon_table import DaemonTable as DaemonTable
 from ._leader_client import LeaderClient as LeaderClient
 from ._loan_ports import TokenBorrower as TokenBorrower
 from ._loan_ports import TokenLender as TokenLender
-from ._membership import Membership as Membership
 from ._messages import Announcement as Announcement
 from ._messages import OperatorAnswer as OperatorAnswer
 from ._messages import OperatorRequest as OperatorRequest
 from ._messages import ReportRequest as ReportRequest
 from ._metrics import ControlMetrics as ControlMetrics
-from ._operator_api import OperatorApi as OperatorApi
-from ._operator_api import OperatorSettings as OperatorSettings
 from ._orders import OrderClient as OrderClient
 from ._orders import Sender as Sender
 from ._orders import SenderGoneError as SenderGoneError
-from ._replica_port import ControlReplica as ControlReplica
-from ._service import ControlService as ControlService
 from ._settings import ControlSettings as ControlSettings
-from ._state import ControlState as ControlState
-from ._usage_reporting import UsageApi as UsageApi
-from ._usage_reporting import UsageDuty as UsageDuty
 from ._view_log import apply_delta as apply_delta
 from ._view_log import ViewDelta as ViewDelta
 from ._view_log import ViewLog as ViewLog
+
+if TYPE_CHECKING:
+    from ._leader_names import *  # noqa: F403
+else:
+    # Most daemons run only the agent, without the control leader.
+    __getattr__ = deferred_names(__name__, '_leader_names')
--- /dev/null
+++ b/libs/control/siskinsail_control/_leader_names.py
@@ -0,0 +1,31 @@
+"""Public names of the control leader and of the replicated state."""
+
+from ._admin_port import DatabaseAdmin as DatabaseAdmin
+from ._admin_port import FencedDatabase as FencedDatabase
+from ._admin_port import ProbeResult as ProbeResult
+from ._commands import AddTokenSecret as AddTokenSecret
+from ._commands import ApplyCatalogue as ApplyCatalogue
+from ._commands import Command as Command
+from ._commands import DecideUsage as DecideUsage
+from ._commands import decode_command as decode_command
+from ._commands import DeregisterDaemon as DeregisterDaemon
+from ._commands import encode_command as encode_command
+from ._commands import FinishPrimaryChange as FinishPrimaryChange
+from ._commands import LeaderStarted as LeaderStarted
+from ._commands import PlaceDataCentre as PlaceDataCentre
+from ._commands import RegisterDaemon as RegisterDaemon
+from ._commands import RegisterGroup as RegisterGroup
+from ._commands import ReplaceConfiguration as ReplaceConfiguration
+from ._commands import StartPrimaryChange as StartPrimaryChange
+from ._commands import SuspendDaemon as SuspendDaemon
+from ._connection_lender import ConnectionLender as ConnectionLender
+from ._connection_lender import shares_by_demand as shares_by_demand
+from ._daemon_table import DaemonTable as DaemonTable
+from ._membership import Membership as Membership
+from ._operator_api import OperatorApi as OperatorApi
+from ._operator_api import OperatorSettings as OperatorSettings
+from ._replica_port import ControlReplica as ControlReplica
+from ._service import ControlService as ControlService
+from ._state import ControlState as ControlState
+from ._usage_reporting import UsageApi as UsageApi
+from ._usage_reporting import UsageDuty as UsageDuty
--- a/libs/lifecycle/siskinsail_lifecycle/__init__.py
+++ b/libs/lifecycle/siskinsail_lifecycle/__init__.py
@@ -1,5 +1,6 @@
 """Start, pauses and stop of a process."""
 
+from ._deferred_names import deferred_names as deferred_names
 from ._graceful_stop import GracefulStop as GracefulStop
 from ._graceful_stop import Stoppable as Stoppable
 from ._graceful_stop import StopSettings as StopSettings
