Start a control member without the service for callers

Cause: a control member sends commands to databases through the driver of siskinsail_statements, whose import brought the sessions, the holders and the choice of replica with it; so did one module with the settings of both roles.

Change: siskinsail_statements defers the names of the service as siskinsail_control does those of the leader.

The row of the core in platform/tests/test_start.py fails without the change. make lint passes; tests/test_mutation_rows.py and the settings tests of the platform pass.

--- a/libs/statements/siskinsail_statements/__init__.py
+++ b/libs/statements/siskinsail_statements/__init__.py
@@ -1,29 +1,18 @@
 """Caller sessions that run single statements on pooled connections."""
 
-from ._admission import api_key_digest as api_key_digest
-from ._connection import SessionVariables as SessionVariables
-from ._connection import SharedConnection as SharedConnection
+from typing import TYPE_CHECKING
+
+from siskinsail_lifecycle import deferred_names
+
+from ._api_key import api_key_digest as api_key_digest
 from ._driver import DatabaseDriver as DatabaseDriver
 from ._driver import DatabaseSession as DatabaseSession
-from ._explanation import CandidateExplanation as CandidateExplanation
-from ._explanation import Explanation as Explanation
-from ._explanation import Obstacle as Obstacle
-from ._forwarder import Forwarder as Forwarder
-from ._forwarder import HolderClients as HolderClients
-from ._forwarding_messages import FORWARD_METHOD as FORWARD_METHOD
 from ._outcome import Reply as Reply
 from ._outcome import SessionReply as SessionReply
 from ._outcome import StatementError as StatementError
 from ._outcome import StatementErrorCode as StatementErrorCode
 from ._outcome import stopping_error as stopping_error
 from ._outcome import TransactionState as TransactionState
-from ._positions import PositionSamples as PositionSamples
-from ._replicas import LocalPool as LocalPool
-from ._replicas import LocalPools as LocalPools
-from ._service import make_statement_pools as make_statement_pools
-from ._service import StatementService as StatementService
-from ._session import CallerSession as CallerSession
-from ._settings import StatementSettings as StatementSettings
 from ._statement import Begin as Begin
 from ._statement import CallerStatement as CallerStatement
 from ._statement import Command as Command
@@ -38,3 +27,9 @@
 from ._statement import Rollback as Rollback
 from ._statement import SetValue as SetValue
 from ._statement import Status as Status
+
+if TYPE_CHECKING:
+    from ._service_names import *  # noqa: F403
+else:
+    # A control member sends commands to databases and serves no callers.
+    __getattr__ = deferred_names(__name__, '_service_names')
--- a/libs/statements/siskinsail_statements/_admission.py
+++ b/libs/statements/siskinsail_statements/_admission.py
@@ -12,7 +12,6 @@
 from siskinsail_admission import authenticate_key
 from siskinsail_admission import Caller
 from siskinsail_admission import LocalTokenBucket
-from siskinsail_catalogue import key_digest
 from siskinsail_catalogue import RouteEntry
 from siskinsail_catalogue import SessionPolicy
 from siskinsail_catalogue import ViewSource
@@ -23,7 +22,6 @@
 from siskinsail_types import RequestError
 from siskinsail_types import RouteAccess
 from siskinsail_types import RouteId
-from siskinsail_types import Secret
 
 from ._operation import OperationPolicy
 from ._outcome import StatementError
@@ -174,11 +172,6 @@
         return None
 
 
-def api_key_digest(key: str) -> KeyDigest:
-    """Return the digest of the API key of a caller."""
-    return key_digest(Secret(key))
-
-
 def busy_error(error: RequestError) -> StatementError:
     """Return the error for a statement that was not sent."""
     return StatementError(
