--- a/libs/budget/siskinsail_budget/_memory.py
+++ b/libs/budget/siskinsail_budget/_memory.py
@@ -140,12 +140,22 @@
             self._budget._add(group, charged)
         self._group = group
 
-    def try_resize(self, size_bytes: int) -> bool:
-        """Change the size of the buffer, if the budget has room for it."""
+    def try_resize(
+        self, size_bytes: int, *, passes_waiting: bool = False
+    ) -> bool:
+        """Change the size of the buffer, if the budget has room for it.
+
+        Parameters
+        ----------
+        passes_waiting : bool
+            Whether buffers that wait for a reservation come later. This is
+            for work that is finished, such as an answer, which must not be
+            lost to work that has not begun.
+        """
         growth = self._growth(size_bytes)
         if growth > 0 and not (
             self._budget.fits(self._group, growth)
-            and self._budget._may_pass_waiting(self._group)
+            and (passes_waiting or self._budget._may_pass_waiting(self._group))
         ):
             return False
         self._charge(growth)
--- a/libs/budget/tests/test_memory.py
+++ b/libs/budget/tests/test_memory.py
@@ -67,6 +67,22 @@
     assert budget.used_bytes == used_bytes
 
 
+async def test_finished_work_passes_buffers_that_wait():
+    """Guards against an answer that is lost to a call that has not begun."""
+    budget = MemoryBudget(SETTINGS)
+    answer, _ = _reserve(budget, 'a', 4)
+    _held, _ = _reserve(budget, 'a', 4)
+    waiting = budget.reserve_nothing(GroupName('a'))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(waiting.resize, 3 * MIB)
+        await anyio.wait_all_tasks_blocked()
+        assert budget.waiting == 1
+        assert not answer.try_resize(5 * MIB)
+        assert answer.try_resize(5 * MIB, passes_waiting=True)
+        assert not answer.try_resize(7 * MIB, passes_waiting=True)
+        tasks.cancel_scope.cancel()
+
+
 def test_a_reservation_ends_with_its_last_reference():
     budget = MemoryBudget(SETTINGS)
     reservation, _ = _reserve(budget, 'a', 5)
--- a/libs/control/siskinsail_control/_relay_caller.py
+++ b/libs/control/siskinsail_control/_relay_caller.py
@@ -66,7 +66,9 @@
         self._vm = vm
         self._clock = clock
         self._metrics = metrics
-        self._clients = PeerClients(network, secret, vm)
+        self._clients = PeerClients(
+            network, secret, vm, read_timeout_s=settings.read_timeout_s
+        )
 
     @property
     def connected_daemons(self) -> tuple[VmId, ...]:
--- a/libs/net/siskinsail_net/_peer_client.py
+++ b/libs/net/siskinsail_net/_peer_client.py
@@ -12,6 +12,7 @@
 from siskinsail_types import Address
 from siskinsail_types import CallTimeoutError
 from siskinsail_types import Clock
+from siskinsail_types import LimitExceededError
 from siskinsail_types import PeerAuthenticationError
 from siskinsail_types import ProtocolError
 from siskinsail_types import Secret
@@ -89,7 +90,7 @@
         """End the call; drop the response if no memory is left for it."""
         size_bytes = len(response.payload) * ANSWER_COPIES
         if self._reservation is None or self._reservation.try_resize(
-            size_bytes
+            size_bytes, passes_waiting=True
         ):
             self.response = response
         else:
@@ -239,6 +240,7 @@
         request_id = self._next_id
         self._next_id += 1
         pending = _PendingCall(reservation)
+        starts_waiting = False
         try:
             with anyio.fail_after(timeout_s):
                 await self._connected.wait()
@@ -249,12 +251,18 @@
                 # read timeout.
                 if self._waiting_since_s is None:
                     self._waiting_since_s = self._clock.now_s()
+                    starts_waiting = True
                 self._pending[request_id] = pending
                 self._call_pending.set()
                 await frames.send(
                     Frame(FrameKind.REQUEST, request_id, method, payload)
                 )
                 await pending.done.wait()
+        except LimitExceededError:
+            # Nothing was sent, so the peer owes no answer.
+            if starts_waiting and len(self._pending) == 1:
+                self._waiting_since_s = None
+            raise
         except TimeoutError as error:
             raise CallTimeoutError(
                 f'{self._remote}: timed out waiting for {method}'
--- a/libs/net/siskinsail_net/_peer_frame.py
+++ b/libs/net/siskinsail_net/_peer_frame.py
@@ -261,9 +261,13 @@
             return
         if not await self._reservation.resize(len(self._buffer)):
             raise LimitExceededError('no memory is left for the frame')
-        if self._reservation.is_charged and not await self._reservation.resize(
-            MAX_FRAME_BYTES
-        ):
+        if not self._reservation.is_charged:
+            return
+        # At once for the whole frame: frames that grew piece by piece could
+        # all wait for each other.
+        (size,) = _LENGTH_PREFIX.unpack_from(self._buffer)
+        frame_bytes = max(len(self._buffer), _LENGTH_PREFIX.size + size)
+        if not await self._reservation.resize(frame_bytes):
             raise LimitExceededError('no memory is left for the frame')
 
     def _buffer_received(self, data: bytes) -> None:
--- a/libs/net/tests/test_peer_memory.py
+++ b/libs/net/tests/test_peer_memory.py
@@ -27,6 +27,7 @@
 from siskinsail_net import TcpNetwork
 from siskinsail_net._peer_frame import decode_envelope
 from siskinsail_types import Address
+from siskinsail_types import LimitExceededError
 from siskinsail_types import ProtocolError
 from siskinsail_types import Secret
 from siskinsail_types import VmId
@@ -161,3 +162,50 @@
     assert stream.sent_bytes < MIB / 2
     # Later frames would refer to the part that was not sent.
     assert stream.is_closed
+
+
+class StalledStream:
+    """Stream that receives the beginning of a frame and then nothing."""
+
+    def __init__(self, data):
+        self._data = data
+
+    async def receive(self):
+        data, self._data = self._data, b''
+        if not data:
+            await anyio.sleep_forever()
+        return data
+
+    async def aclose(self):
+        pass
+
+
+async def test_a_frame_reserves_its_own_length():
+    """Guards against frames of some 20 KB that use up the whole budget."""
+    memory = make_budget()
+    data = encode_frame(Frame(FrameKind.ANSWER, 1, '', os.urandom(100_000)))
+    frames = FrameStream(StalledStream(data[:50_000]))
+    frames.accept_large_frames(memory.reserve_nothing(GROUP))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(frames.receive)
+        with anyio.fail_after(5.0):
+            while not memory.used_bytes:
+                await anyio.sleep(0.01)
+        await anyio.wait_all_tasks_blocked()
+        assert 80_000 < memory.used_bytes < len(data)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_call_too_large_to_send_leaves_nothing_unanswered():
+    """Guards against a connection that is closed for a call not sent."""
+
+    async def read(caller, payload):
+        return payload
+
+    async with anyio.create_task_group() as tasks:
+        client = await start(tasks, read)
+        with pytest.raises(LimitExceededError):
+            await client.call('read', os.urandom(5 * MIB), 5.0)
+        assert client._waiting_since_s is None
+        assert await client.call('read', b'x', 5.0) == b'x'
+        tasks.cancel_scope.cancel()
--- a/libs/statements/siskinsail_statements/_forwarder.py
+++ b/libs/statements/siskinsail_statements/_forwarder.py
@@ -343,13 +343,33 @@
             answer.
         """
         self._check_time_left(end_s)
-        client = self._clients.client(daemon)
-        if not client.is_connected:
-            await self._connect(daemon, client, end_s)
         remaining_s = end_s - self._clock.now_s()
         reservation = await self._memory.reserve(call, remaining_s)
         if reservation is None:
             raise HolderUnavailableError('no memory is left for the call')
+        try:
+            return await self._call_with_memory(
+                daemon, call, made_s, end_s, reservation
+            )
+        except BaseException:
+            # An error may keep its frames, and these the reservation, until
+            # the next garbage collection.
+            reservation.close()
+            raise
+
+    async def _call_with_memory(
+        self,
+        daemon: ServingDaemon,
+        call: ForwardedCall,
+        made_s: float,
+        end_s: float,
+        reservation: Reservation,
+    ) -> HolderAnswer:
+        # The connection comes last, so that it is not lost while the call
+        # waits for memory. The call would then count as sent.
+        client = self._clients.client(daemon)
+        if not client.is_connected:
+            await self._connect(daemon, client, end_s)
         self._check_time_left(end_s)
         sent_s = self._clock.now_s()
         timeout_s = end_s - sent_s
@@ -377,8 +397,8 @@
             payload = await client.call(
                 FORWARD_METHOD, encode_call(call), timeout_s, reservation
             )
-            answer = decode_answer(payload)
         except LimitExceededError as error:
+            # The call was too large to be sent.
             raise HolderUnavailableError(str(error)) from error
         except AnswerDroppedError as error:
             self._memory.record_answer(call.account, error.size_bytes)
@@ -389,13 +409,18 @@
             if timeout_s >= self._settings.unanswered_s:
                 self._record_failure(daemon, str(error))
             raise HolderLostError(str(error)) from error
+        try:
+            answer = decode_answer(payload)
+        except ProtocolError as error:
+            self._record_failure(daemon, str(error))
+            raise HolderLostError(str(error)) from error
         size_bytes = rows_bytes(answer.rows)
         # A refusal tells nothing about the answers of the account.
         if answer.outcome is ForwardedOutcome.ANSWERED and not answer.error:
             self._memory.record_answer(
                 call.account, max(size_bytes, len(payload) * ANSWER_COPIES)
             )
-        if not reservation.try_resize(size_bytes):
+        if not reservation.try_resize(size_bytes, passes_waiting=True):
             self._log_dropped(call, size_bytes)
             raise HolderLostError('no memory is left for the answer')
         return answer
@@ -410,7 +435,9 @@
         """Wait for the first connection to a holder."""
         wait_s = min(end_s - self._clock.now_s(), _CONNECT_WAIT_S)
         if client.failed_attempts or not await client.wait_connected(wait_s):
-            self._record_failure(daemon, 'no connection')
+            # A call with little time left says nothing about the holder.
+            if client.failed_attempts or wait_s >= _CONNECT_WAIT_S:
+                self._record_failure(daemon, 'no connection')
             raise HolderUnavailableError(f'no connection to {daemon.vm}')
 
     def _log_dropped(self, call: ForwardedCall, size_bytes: int) -> None:
--- a/libs/statements/tests/test_forwarding_times.py
+++ b/libs/statements/tests/test_forwarding_times.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+import gc
 from types import SimpleNamespace
 
 import pytest
@@ -14,6 +15,8 @@
 
 from siskinsail_backend import ConnectionFailedError
 from siskinsail_backend import Waiter
+from siskinsail_budget import BudgetSettings
+from siskinsail_budget import MemoryBudget
 from siskinsail_catalogue import BackendServer
 from siskinsail_catalogue import ServingDaemon
 from siskinsail_holders import HolderSettings
@@ -24,9 +27,12 @@
 from siskinsail_statements._connection import NotRunError
 from siskinsail_statements._connection import SessionVariables
 from siskinsail_statements._forwarded_connection import ForwardedConnection
+from siskinsail_statements._forwarder import HolderLostError
 from siskinsail_statements._forwarding_messages import decode_call
 from siskinsail_statements._forwarding_messages import encode_answer
+from siskinsail_statements._forwarding_messages import ForwardedAction
 from siskinsail_statements._forwarding_messages import ForwardedAnswer
+from siskinsail_statements._forwarding_messages import ForwardedCall
 from siskinsail_statements._forwarding_messages import ForwardedOutcome
 from siskinsail_statements._forwarding_messages import NotRunReason
 from siskinsail_statements._positions import ReadBound
@@ -37,6 +43,7 @@
 from siskinsail_types import LogIndex
 from siskinsail_types import ManualClock
 from siskinsail_types import Term
+from siskinsail_types import TransportError
 
 pytestmark = pytest.mark.anyio
 TIMEOUT_S = 0.6
@@ -202,6 +209,42 @@
     assert holder.received is None
 
 
+class LostHolder(Holder):
+    """Holder whose connection is lost while it runs a call."""
+
+    async def call(self, method, payload, timeout_s, reservation=None):
+        raise TransportError('connection lost')
+
+
+async def test_a_lost_call_gives_back_its_memory():
+    """Guards against memory that is kept until the next collection.
+
+    The error referred to the frames of the call, and these to its memory.
+    """
+    clock = ManualClock()
+    daemon = ServingDaemon('first', 'a', '127.0.0.1:1')
+    holder = LostHolder(clock)
+    memory = MemoryBudget(BudgetSettings(memory_mb=100))
+    forwarder = Forwarder(
+        HolderSettings(),
+        'own',
+        Views(),
+        SimpleNamespace(client=lambda _: holder, unanswered_s=lambda _: 0.0),
+        clock,
+        memory=memory,
+    )
+    call = ForwardedCall(ForwardedAction.RUN, account='a', text='x' * 100_000)
+    now_s = clock.now_s()
+    gc.disable()
+    try:
+        with pytest.raises(HolderLostError) as kept:
+            await forwarder.call(daemon, call, now_s, now_s + 1.0)
+        assert kept.value.__traceback__ is not None
+        assert memory.used_bytes == 0
+    finally:
+        gc.enable()
+
+
 class SlowPool:
     """Pool whose connection is free after a wait."""
 
