--- a/libs/control/siskinsail_control/_connection_lender.py
+++ b/libs/control/siskinsail_control/_connection_lender.py
@@ -79,8 +79,9 @@
     lowered since an earlier leader lent, and that earlier leaders left the
     reserve that this leader lends before lending begins. With
     ``connections_by_demand``, a bound is therefore raised into the reserve
-    only by ``lend_reserve``. Without it, connections that move between daemons
-    may use the reserve until the daemons that give them up have called.
+    only by ``lend_reserve``, or while connections are withheld. Without it,
+    connections that move between daemons may use the reserve until the
+    daemons that give them up have called.
 
     Parameters
     ----------
