--- a/libs/control/siskinsail_control/_control_calls.py
+++ b/libs/control/siskinsail_control/_control_calls.py
@@ -147,7 +147,8 @@
         Returns
         -------
         CallPath or None
-            None if no member could be reached in the time of a call.
+            None if no member could be reached in the time of a call and there
+            is no daemon that could relay calls.
         """
         while not self._choice.is_direct:
             candidate = self._choice.next_candidate()
@@ -200,6 +201,9 @@
     async def call(self, method: str, payload: bytes) -> bytes:
         """Make a call beside the sync calls.
 
+        It goes to the relay or to the member that is called now, which may
+        have changed since the path of the sync call was chosen.
+
         Raises
         ------
         SiskinsailError
--- a/libs/control/siskinsail_control/_relay_choice.py
+++ b/libs/control/siskinsail_control/_relay_choice.py
@@ -46,7 +46,7 @@
         self._clock = clock
         self._daemons: Sequence[ServingDaemon] = ()
         self._candidates: list[ServingDaemon] = []
-        self._is_direct = True
+        self._prefers_direct = True
         self._refused_since_s = math.inf
         self._relay: ServingDaemon | None = None
         self._next_position = 0
@@ -57,7 +57,7 @@
     @property
     def is_direct(self) -> bool:
         """Whether the daemon calls the members itself."""
-        return self._is_direct or not self._candidates
+        return self._prefers_direct or not self._candidates
 
     @property
     def relay(self) -> ServingDaemon | None:
@@ -103,7 +103,7 @@
 
     def record_direct_answer(self) -> None:
         """Record that the leader answered a direct call."""
-        self._is_direct = True
+        self._prefers_direct = True
         self._refused_since_s = math.inf
         self._relay = None
         self._next_position = 0
@@ -111,14 +111,14 @@
 
     def record_direct_failure(self) -> None:
         """Record that a member did not answer."""
-        if self._is_direct:
+        if self._prefers_direct:
             self._pause_end_s = self._clock.now_s() + ANSWER_WAIT_S
-        self._is_direct = False
+        self._prefers_direct = False
         self._refused_since_s = math.inf
 
     def record_no_member(self) -> None:
         """Record that no member is connected."""
-        self._is_direct = False
+        self._prefers_direct = False
         self._refused_since_s = math.inf
 
     def record_direct_refusal(self) -> None:
@@ -126,14 +126,14 @@
         now_s = self._clock.now_s()
         self._refused_since_s = min(self._refused_since_s, now_s)
         if now_s - self._refused_since_s >= MAX_REFUSED_S:
-            self._is_direct = False
+            self._prefers_direct = False
 
     def record_relay_answer(self, daemon: ServingDaemon) -> None:
         """Record that a daemon relayed a call and its answer.
 
         The answer may have brought a view without this daemon.
         """
-        if not self._is_direct and daemon in self._candidates:
+        if not self._prefers_direct and daemon in self._candidates:
             self._relay = daemon
             self._end_round()
 
--- a/libs/limits/siskinsail_limits/_borrower.py
+++ b/libs/limits/siskinsail_limits/_borrower.py
@@ -255,13 +255,15 @@
                 left_s = min(end_s - now_s, next_admission_s)
                 if left_s <= 0:
                     break
-                vain_in_s = self._vain_in_s(account, tokens, waiter, end_s)
-                if vain_in_s <= 0:
+                time_until_refusal_s = self._time_until_refusal_s(
+                    account, tokens, waiter, end_s
+                )
+                if time_until_refusal_s <= 0:
                     return _refused(
                         'cut off from the lender of tokens; not run',
                         self._contact.retry_after_s(end_s - now_s),
                     )
-                left_s = min(left_s, vain_in_s)
+                left_s = min(left_s, time_until_refusal_s)
                 with anyio.move_on_after(left_s):
                     await self._wait_or_call(account, tokens, waiter)
         finally:
@@ -298,7 +300,7 @@
             return min(next_share_s, overrun_in_s)
         return next_share_s
 
-    def _vain_in_s(
+    def _time_until_refusal_s(
         self,
         account: AccountId,
         tokens: AccountTokens,
@@ -306,13 +308,15 @@
         end_s: float,
     ) -> float:
         """Return the seconds until a wait is in vain; infinite if unknown."""
-        vain_in_s = self._contact.vain_in_s(self._clock.now_s(), end_s)
-        if math.isinf(vain_in_s):
-            return vain_in_s
+        time_until_refusal_s = self._contact.time_until_refusal_s(
+            self._clock.now_s(), end_s
+        )
+        if math.isinf(time_until_refusal_s):
+            return time_until_refusal_s
         ahead = tokens.waiters.index(waiter)
         if ahead < self._local_tokens_until(account, end_s):
             return math.inf
-        return vain_in_s
+        return time_until_refusal_s
 
     def _local_tokens_until(self, account: AccountId, end_s: float) -> int:
         """Return how many requests are admitted without a loan until then."""
--- a/libs/limits/siskinsail_limits/_lender_contact.py
+++ b/libs/limits/siskinsail_limits/_lender_contact.py
@@ -89,7 +89,7 @@
         self._unanswered_calls = 0
         self._is_disconnected = False
 
-    def vain_in_s(self, now_s: float, end_s: float) -> float:
+    def time_until_refusal_s(self, now_s: float, end_s: float) -> float:
         """Return the seconds until a wait is in vain; 0 if it is.
 
         Infinite if this is not known now. While the silence grows, what the
@@ -109,15 +109,15 @@
         min_silent_s = _MIN_SILENT_CALLS * self._settings.rate_share_after_s
         return max(0.0, needed_s, min_silent_s - silent_s)
 
-    def retry_after_s(self, spared_s: float) -> float:
+    def retry_after_s(self, unused_wait_s: float) -> float:
         """Return when the caller of a refused request may come back.
 
         Parameters
         ----------
-        spared_s : float
+        unused_wait_s : float
             Time that the request was not kept waiting.
         """
         factor = _MIN_RETRY_FACTOR + self._random() * (
             _MAX_RETRY_FACTOR - _MIN_RETRY_FACTOR
         )
-        return max(_MIN_RETRY_AFTER_S, spared_s) * factor
+        return max(_MIN_RETRY_AFTER_S, unused_wait_s) * factor
--- a/libs/limits/tests/test_lender_contact.py
+++ b/libs/limits/tests/test_lender_contact.py
@@ -95,7 +95,7 @@
             measured.requests += 1
         for sent_s in list(waiting):
             end_s = sent_s + wait_s
-            is_vain = contact.vain_in_s(now_s, end_s) <= 0
+            is_vain = contact.time_until_refusal_s(now_s, end_s) <= 0
             if not (is_over or now_s >= end_s or is_vain):
                 continue
             waiting.remove(sent_s)
@@ -179,7 +179,7 @@
 
 
 @pytest.mark.parametrize(
-    ('failures', 'silent_s', 'left_s', 'vain_in_s'),
+    ('failures', 'silent_s', 'left_s', 'time_until_refusal_s'),
     [
         (2, 30.0, 0.5, math.inf),
         (3, 2.4, 1.0, 0.0),
@@ -189,12 +189,16 @@
         (3, 1.8, 0.9, 0.0),
     ],
 )
-def test_when_a_wait_is_in_vain(failures, silent_s, left_s, vain_in_s):
+def test_when_a_wait_is_in_vain(
+    failures, silent_s, left_s, time_until_refusal_s
+):
     contact = LenderContact(SETTINGS, 0.0, lambda: 0.5)
     for _ in range(failures):
         contact.record_call(silent_s, is_answered=False)
     end_s = silent_s + left_s
-    assert contact.vain_in_s(silent_s, end_s) == pytest.approx(vain_in_s)
+    assert contact.time_until_refusal_s(silent_s, end_s) == pytest.approx(
+        time_until_refusal_s
+    )
 
 
 @pytest.mark.parametrize('is_disconnected', [False, True])
@@ -205,21 +209,21 @@
         contact.record_connection(7.0, is_connected=False)
     for _ in range(3):
         contact.record_call(7.0, is_answered=False)
-    assert contact.vain_in_s(7.0, 8.0) == 0.0
+    assert contact.time_until_refusal_s(7.0, 8.0) == 0.0
     if is_disconnected:
         contact.record_connection(7.0, is_connected=True)
     else:
         contact.record_call(7.0, is_answered=True)
-    assert contact.vain_in_s(7.0, 8.0) == math.inf
+    assert contact.time_until_refusal_s(7.0, 8.0) == math.inf
 
 
 @pytest.mark.parametrize(
-    ('drawn', 'spared_s', 'retry_after_s'),
+    ('drawn', 'unused_wait_s', 'retry_after_s'),
     [(0.0, 1.0, 0.5), (0.5, 1.0, 1.0), (1.0, 1.0, 1.5), (0.0, 0.0, 0.125)],
 )
 def test_callers_come_back_spread_over_the_spared_wait(
-    drawn, spared_s, retry_after_s
+    drawn, unused_wait_s, retry_after_s
 ):
     """Guards against callers that all come back at once."""
     contact = LenderContact(SETTINGS, 0.0, lambda: drawn)
-    assert contact.retry_after_s(spared_s) == retry_after_s
+    assert contact.retry_after_s(unused_wait_s) == retry_after_s
