--- a/libs/statements/siskinsail_statements/_call_memory.py
+++ b/libs/statements/siskinsail_statements/_call_memory.py
@@ -17,7 +17,7 @@
 _CALL_COPIES = 2
 # A row takes more memory than its text.
 _ROW_OVERHEAD_BYTES = 64
-# An account with one large answer soon waits for memory no longer.
+# Factor of the expected size of an answer after each smaller answer.
 _DECAY = 0.5
 # Share of the memory of an account that an answer is expected to need at most.
 _MAX_EXPECTED_SHARE = 0.5
@@ -44,10 +44,23 @@
         self._memory = memory
         self._expected_bytes: dict[AccountId, int] = {}
 
+    @property
+    def _max_expected_bytes(self) -> int:
+        settings = self._memory.settings
+        if not settings.is_limited:
+            return 0
+        return int(settings.group_bytes * _MAX_EXPECTED_SHARE)
+
     async def reserve(
         self, call: ForwardedCall, timeout_s: float
     ) -> Reservation | None:
-        """Reserve memory for a call; return None if there is none in time."""
+        """Reserve memory for a call; return None if there is none in time.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for memory, in seconds.
+        """
         reservation = self._memory.reserve_nothing(
             GroupName(f'account {call.account}')
         )
@@ -68,13 +81,6 @@
             expected_bytes = self._expected_bytes.get(call.account, 0)
         return _call_bytes(call) * _CALL_COPIES + expected_bytes
 
-    @property
-    def _max_expected_bytes(self) -> int:
-        settings = self._memory.settings
-        if not settings.is_limited:
-            return 0
-        return int(settings.group_bytes * _MAX_EXPECTED_SHARE)
-
     def record_answer(self, account: AccountId, size_bytes: int) -> None:
         """Record the memory that an answer needed when it arrived."""
         expected_bytes = self._expected_bytes.pop(account, 0)
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -205,9 +205,9 @@
         while True:
             is_busy = False
             targets = self._targets(operation, needs_primary)
-            if not (targets or needs_primary) and self._waits_in_vain(
-                operation
-            ):
+            if not (
+                targets or needs_primary
+            ) and self._has_no_connection_until_lease(operation):
                 return Failure(last_error or _no_database_error())
             for target in targets:
                 if (
@@ -241,10 +241,10 @@
                 return Failure(last_error or _no_database_error())
             await self._pause(operation, busy_rounds)
 
-    def _waits_in_vain(self, operation: Operation) -> bool:
-        """Tell whether a read that needs no lease can get no connection.
+    def _has_no_connection_until_lease(self, operation: Operation) -> bool:
+        """Tell whether a read can get no connection before the next lease.
 
-        A daemon whose lease has lapsed gets none before its next lease.
+        This holds for reads that need no lease, once the lease has lapsed.
         """
         return (
             operation.read_bound is not None
