--- a/review/6/run.py
+++ b/review/6/run.py
@@ -1,12 +1,13 @@
-"""A primary crashes while one of its replicas is being replaced.
+"""A control member loses its disk just after another one was replaced.
 
-The service has ``sync_replicas`` 1. The replica that leaves has received
-commits that were acknowledged and that the others had not received yet.
+The successor started 10 s before the member that it replaces was stopped.
 """
 
 import asyncio
+import json
+import os
 from pathlib import Path
-import random
+import signal
 import sys
 
 FOLDER = Path(__file__).resolve().parent
@@ -17,106 +18,108 @@
 from stand_ins_2.case import run_case  # noqa: E402
 from stand_ins_2.client import Client  # noqa: E402
 from stand_ins_2.database import ServiceSettings  # noqa: E402
+from stand_ins_2.deployment import BOUNDS  # noqa: E402
 from stand_ins_2.deployment import make_manifest  # noqa: E402
+from stand_ins_2.http import call  # noqa: E402
 
-KEY = 'key-of-the-agents'
-WRITERS = 9
-MAX_PAUSE_S = 0.04
-DRAIN_S = 7.0
-DOWN_S = 7.0
-# The pages: replicas 20 ms behind. The one that leaves is nearer.
-NEAR_S, BEHIND_S = 0.003, 0.02
-LEAVING, NEW = 'i-2', 'i-4'
+KEYS = {'agents': ['key-of-the-agents']}
+REPLACED, LOST, SUCCESSOR = 'core-2', 'core-3', 'core-4'
+# More than ``catch_up_s``, so that the replaced member does not count.
+SUCCESSOR_S = 10.0
+# Between the end of the replaced member and the loss of the disk.
+GAP_S = float(os.environ.get('GAP', '1.5'))
+DOWN_S = 3.0
+# ``recover_s``, ``outer_ms`` and ``contact_ms`` one after the other.
+PATIENCE_S = (
+    BOUNDS['recover_s']
+    + BOUNDS['outer_ms'] / 1000
+    + BOUNDS['contact_ms'] / 1000
+)
 
 
-async def write_orders(case: Case, address: str, acked: list[str]) -> None:
-    """Write one order after the other; connect again after a close."""
-    number = 0
-    while True:
-        try:
-            client = await Client.connect(address, 'orders', KEY, case.record)
-            try:
-                while True:
-                    number += 1
-                    answer = await client.query(f'WRITE 1a{number} order')
-                    if answer.is_success:
-                        acked.append(answer.request_id)
-                    await asyncio.sleep(random.uniform(0, MAX_PAUSE_S))
-            finally:
-                client.close()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            await asyncio.sleep(0.1)
+async def play(case: Case) -> str:
+    """Replace a member, take another one's disk, and read the manifest."""
+    deployment = case.deployment
+    await case.start(make_manifest(7, KEYS))
+    await wait_for_write(case, 20.0)
+    platform_address = case.service.platform_address
+    deployment.add_core(SUCCESSOR, 'kumasi-adum', platform_address)
+    await asyncio.sleep(SUCCESSOR_S)
+    deployment.send_signal(REPLACED, signal.SIGTERM)
+    if not await deployment.wait_ended(REPLACED, BOUNDS['grace_s']):
+        raise CaseNotRunError('the replaced member did not end in time')
+    del deployment.controls[1]
+    await asyncio.sleep(GAP_S)
+    await confirm_at_lost(case, make_manifest(8, KEYS))
+    if case.has_trouble:
+        deployment.send_signal(LOST, signal.SIGKILL)
+        await deployment.wait_ended(LOST, 5.0)
+        deployment.lose_disk(LOST)
+        await asyncio.sleep(DOWN_S)
+        deployment.start_process(LOST)
+    return await find_hung(case)
 
 
-async def wait_until(condition, timeout_s: float, what: str) -> None:
-    """Wait until a condition holds."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            while not condition():
-                await asyncio.sleep(0.02)
-    except TimeoutError as error:
-        raise CaseNotRunError(what) from error
+async def confirm_at_lost(case: Case, manifest: dict[str, object]) -> None:
+    """Have the member that loses its disk confirm a manifest."""
+    control = case.deployment.controls[1]
+    for _ in range(50):
+        path = '/-/config/replace'
+        if await call(control, 'POST', path, manifest) == 200:
+            case.record.add(f'{LOST} confirmed manifest 8')
+            return
+        await asyncio.sleep(0.02)
+    raise CaseNotRunError('manifest 8 was not confirmed')
 
 
-async def play(case: Case) -> str:
-    """Replace a replica, crash the primary, and look at the next log."""
-    service = case.service
-    manifest = make_manifest(7, {'agents': [KEY]}, sync_replicas=1)
-    await case.start(manifest)
-    acked: list[str] = []
-    writers = [
-        asyncio.ensure_future(write_orders(case, address, acked))
-        for address in case.deployment.fronts
-        for _ in range(WRITERS // len(case.deployment.fronts))
-    ]
-    await wait_until(lambda: len(acked) > 50, 20.0, 'no order was written')
-    # The planned work: the new database starts first, the old one drains.
-    leaving = service.databases[LEAVING]
-    host = f'{case.deployment.prefix}.110'
-    await service.add(NEW, leaving.zone, host)
-    await asyncio.sleep(3.0)
-    draining = asyncio.ensure_future(leaving.drain(DRAIN_S))
-    await asyncio.sleep(3.0)
-    first = service.primary
-    acked_before = list(acked)
-    if case.has_trouble:
-        first.crash()
-        acked_before = list(acked)
-        await asyncio.sleep(DOWN_S)
-        await first.start()
-        case.record.add(f'{first.name} is back with its log')
-    await draining
-    await asyncio.sleep(3.0)
-    if case.has_trouble and not service.promoted:
-        raise CaseNotRunError('no database was promoted')
-    if len(acked) <= len(acked_before):
-        raise CaseNotRunError('no order was written in the end')
-    for writer in writers:
-        writer.cancel()
-    return find_lost(case, acked_before)
-
-
-def find_lost(case: Case, acked: list[str]) -> str:
-    """Tell which acknowledged orders the promoted database lacks."""
-    for database in case.service.promoted:
-        held = {
-            request_id
-            for entry in database.log
-            for request_id in entry.request_ids
-        }
-        lost = [request_id for request_id in acked if request_id not in held]
-        if lost:
-            return (
-                f'{len(lost)} acknowledged orders are not in the log of '
-                f'{database.name}: {" ".join(lost)}'
+async def find_hung(case: Case) -> str:
+    """Tell whether the manifest can be read and a client is served."""
+    clock = asyncio.get_running_loop()
+    end_s = clock.time() + PATIENCE_S
+    is_read = is_served = False
+    while clock.time() < end_s and not (is_read and is_served):
+        for control in case.deployment.controls:
+            status, body = await case.deployment.read_manifest(control)
+            if status == 200:
+                is_read = json.loads(body)['version'] == 8
+        is_served = await can_write(case)
+        await asyncio.sleep(1.0)
+    if is_read and is_served:
+        return ''
+    return (
+        f'{PATIENCE_S:.0f} s after the member was back: manifest 8 is '
+        f'{"" if is_read else "not "}read, a client is '
+        f'{"" if is_served else "not "}served'
+    )
+
+
+async def can_write(case: Case) -> bool:
+    """Tell whether a write succeeds at any front."""
+    for address in case.deployment.fronts:
+        try:
+            client = await Client.connect(
+                address, 'orders', KEYS['agents'][0], case.record
             )
-    return ''
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            continue
+        try:
+            if (await client.query('WRITE 1a order')).is_success:
+                return True
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            continue
+        finally:
+            client.close()
+    return False
+
+
+async def wait_for_write(case: Case, timeout_s: float) -> None:
+    """Wait until a write succeeds."""
+    end_s = asyncio.get_running_loop().time() + timeout_s
+    while not await can_write(case):
+        if asyncio.get_running_loop().time() > end_s:
+            raise CaseNotRunError('no write succeeded')
+        await asyncio.sleep(0.2)
 
 
 if __name__ == '__main__':
-    settings = ServiceSettings(
-        sync_replicas=1,
-        receive_s={LEAVING: NEAR_S},
-        default_receive_s=BEHIND_S,
-    )
-    run_case(FOLDER, settings, play)
+    run_case(FOLDER, ServiceSettings(), play)
--- a/review/stand_ins_2/database.py
+++ b/review/stand_ins_2/database.py
@@ -30,6 +30,16 @@
     request_ids: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class Run:
+    """A statement of a client that a database ran."""
+
+    request_id: str
+    database: 'Database'
+    tenant: str
+    time_s: float
+
+
 @dataclass
 class ServiceSettings:
     """Behaviour of a service, within what its users' pages allow."""
@@ -59,8 +69,8 @@
         self.primary: Database | None = None
         self.promoted: list[Database] = []
         self.highest_token = 0
-        # For whom each statement of a client ran.
-        self.tenants: dict[str, str] = {}
+        # Where and when each statement of a client ran, and for whom.
+        self.runs: list[Run] = []
         self._macs = itertools.count(1)
         self._api: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -131,7 +141,11 @@
             f'{database.name} leads term {self.term} from {database.position}'
         )
         for other in self.databases.values():
-            if other is not database and other.is_running:
+            if (
+                other is not database
+                and other.is_running
+                and not other.is_deaf
+            ):
                 other.follow(database)
         for other in self.databases.values():
             if other.is_running:
@@ -145,7 +159,7 @@
         async def deliver(replica: Database, delay_s: float) -> None:
             await asyncio.sleep(delay_s)
             is_current = source is self.primary and source.is_running
-            if is_current and replica.is_running:
+            if is_current and replica.is_running and not replica.is_deaf:
                 replica.log.append(entry)
                 received.set()
 
@@ -170,6 +184,7 @@
         self.log: list[Entry] = []
         self.is_running = False
         self.state = 'ready'
+        self.is_deaf = False
         self._host = host
         self._port = 0
         self._server: asyncio.Server | None = None
@@ -222,6 +237,14 @@
         """Roll back what the new primary lacks, and receive the rest."""
         self.log = list(primary.log)
 
+    def hear(self) -> None:
+        """Receive again, and first what was missed."""
+        self.is_deaf = False
+        primary = self.service.primary
+        if primary is not None and primary.is_running:
+            self.log = list(primary.log)
+        self.service.record.add(f'{self.name} receives again')
+
     def report_soon(self) -> None:
         """Send a status report at once."""
         self._report_now.set()
@@ -385,7 +408,9 @@
 
     def _complete(self, request_id: str, text: str) -> list[str]:
         mac = self._service.next_mac(self._database)
-        self._service.tenants[request_id] = self._tenant
+        self._service.runs.append(
+            Run(request_id, self._database, self._tenant, time.monotonic())
+        )
         self._service.record.add(
             f'{self._database.name} ran {request_id} for {self._tenant}: '
             f'{text} at {self._database.position}'
