--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,11 +1,10 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10: plain Python files, which run
-# inside the test process. The compilation only shows that they can be read.
+# The stand-ins of the cases 6 to 9 are Python files of the standard library
+# and run inside the test process: there is nothing to build. Reading them
+# shows that this Python can run them.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q stand_ins_2
-for case in 6 7 8 9 10; do
-    if [ -f "$case/run.py" ]; then
-        python3 -m compileall -q "$case"
-    fi
-done
+python3 -c 'import ast, glob, sys
+assert sys.version_info >= (3, 11), "Python 3.11 is needed"
+for path in glob.glob("stand_ins_2/*.py") + glob.glob("[6-9]/*.py"):
+    ast.parse(open(path).read(), path)'
