Give the vote of a stopping control member to its successor

Cause: a member that stops as planned stayed a voter until it had been silent for 3 s, although its successor had announced itself 10 s before.

Change: a stopping member says so in its responses. Without a successor it keeps its vote and does not wait. It does not stand for election, nor does a removed member with an old log. The removal needs a majority of the remaining voters, no longer of all.

--- a/libs/consensus/siskinsail_consensus/_election.py
+++ b/libs/consensus/siskinsail_consensus/_election.py
@@ -74,7 +74,7 @@
             wait_s = deadline_s - self._now_s()
             if wait_s <= 0:
                 self._state.election_timer_start_s = self._now_s()
-                if self._state.is_voter:
+                if self._state.may_stand_for_election:
                     return
                 wait_s = timeout_s
             with anyio.move_on_after(wait_s):
@@ -267,6 +267,9 @@
             )
         if not is_from_target(response, request):
             return None
+        if response.is_removed and response.index > state.membership_index:
+            # This log lacks a committed entry, so no election can be won.
+            state.is_removed = True
         if response.term >= request.term and not response.accepted:
             await state.observe_term(response.term)
         # A voter that denies its vote may still be in contact with the
--- a/libs/consensus/siskinsail_consensus/_leader.py
+++ b/libs/consensus/siskinsail_consensus/_leader.py
@@ -129,6 +129,42 @@
             lambda: self._is_confirmed(heartbeat_number)
         )
 
+    def may_have_successor(self) -> bool:
+        """Tell whether a departing voter is replaced if it waits.
+
+        A new leader does not know all joining members yet. A learner becomes
+        a voter or is removed before another member changes.
+        """
+        state = self._state
+        leading_s = state.clock.now_s() - self._leadership_start_s
+        return (
+            self._has_surplus_member
+            or state.membership.has_learner
+            or self._resolved_joining_member() is not None
+            or leading_s < state.settings.announcement_validity_s
+        )
+
+    async def promote_successor(self) -> None:
+        """Wait until a successor of this leader is a voter, if there is one.
+
+        The next leader then only has to remove this member.
+        """
+        state = self._state
+        pause_s = state.settings.heartbeat_interval_s
+        while state.role is Role.LEADER and self._awaits_successor():
+            await anyio.sleep(pause_s)
+
+    def _awaits_successor(self) -> bool:
+        state = self._state
+        if state.membership_index > state.commit_index:
+            return True
+        if state.membership.has_learner:
+            return True
+        return (
+            not self._has_surplus_member
+            and self._resolved_joining_member() is not None
+        )
+
     async def transfer_leadership(self) -> None:
         """Transfer leadership to the most up-to-date voter.
 
@@ -337,24 +373,24 @@
         changed = self._next_member_update()
         if changed is not None:
             return membership.with_member(changed)
-        failed = [m for m in membership.members if self._has_failed(m)]
+        leaving = [m for m in membership.members if self._is_leaving(m)]
         joining_member = self._resolved_joining_member()
         count = len(membership.members)
-        target = (
-            self._state.settings.target_voters
-            or self._state.founding_member_count
-        )
-        learner = next((m for m in failed if not m.is_voter), None)
+        learner = next((m for m in leaving if not m.is_voter), None)
         if learner is not None and (
-            count > target or joining_member is not None
+            self._has_surplus_member or joining_member is not None
         ):
             return membership.without(learner.name)
-        if not all(m.is_voter for m in membership.members):
+        if membership.has_learner:
             return None
-        lost = next((m for m in failed if self._has_majority_without(m)), None)
-        if count > target and lost is not None:
-            return membership.without(lost.name)
-        if joining_member is not None and (count < target or lost is not None):
+        replaceable = [m for m in leaving if self._keeps_majority_without(m)]
+        if self._has_surplus_member:
+            # A departing leader leaves its own removal to the next leader.
+            others = [m for m in replaceable if not self._is_self(m)]
+            return membership.without(others[0].name) if others else None
+        if joining_member is not None and (
+            count < self._target_voters or replaceable
+        ):
             return membership.with_added(joining_member)
         return None
 
@@ -366,6 +402,35 @@
         self._peers.add_discovered((joining_member.name,))
         return joining_member if self._peers.get(joining_member.name) else None
 
+    @property
+    def _target_voters(self) -> int:
+        return (
+            self._state.settings.target_voters
+            or self._state.founding_member_count
+        )
+
+    @property
+    def _has_surplus_member(self) -> bool:
+        members = self._state.membership.members
+        return len(members) > self._target_voters
+
+    def _is_self(self, member: Member) -> bool:
+        return member.name == self._state.settings.vm_id
+
+    def _is_leaving(self, member: Member) -> bool:
+        """Tell whether a member has failed or said that it stops."""
+        return self._is_departing(member) or self._has_failed(member)
+
+    def _is_departing(self, member: Member) -> bool:
+        if self._is_self(member):
+            return self._state.is_departing
+        peer = self._peers.get(member.name)
+        return (
+            peer is not None
+            and peer.is_departing
+            and peer.reported_disk_id == member.disk_id
+        )
+
     def _has_failed(self, member: Member) -> bool:
         """Tell whether a member has not responded for ``replace_after_s``."""
         peer = self._peers.get(member.name)
@@ -382,18 +447,21 @@
         learner, or a learner with the whole log, which becomes a voter.
         """
         membership = self._state.membership
-        has_learner = not all(m.is_voter for m in membership.members)
         for peer in self._peers:
             member = membership.get(peer.name)
             if member is None or not self._is_responsive(peer):
                 continue
             # A learner is promoted before the disk of a voter is replaced.
-            if has_learner and member.is_voter:
+            if membership.has_learner and member.is_voter:
                 continue
             if peer.reported_disk_id != member.disk_id:
-                if self._has_majority_without(member):
+                if self._keeps_majority_without(member):
                     return Member(member.name, peer.reported_disk_id, False)
-            elif not member.is_voter and self._is_caught_up(peer, member):
+            elif (
+                not member.is_voter
+                and not peer.is_departing
+                and self._is_caught_up(peer, member)
+            ):
                 return Member(member.name, member.disk_id, True)
         return None
 
@@ -401,8 +469,12 @@
         age_s = self._state.clock.now_s() - peer.last_contact_s
         return age_s < self._state.settings.election_timeout_max_s
 
-    def _has_majority_without(self, lost: Member) -> bool:
-        """Tell whether a majority of the voters responds without ``lost``."""
+    def _keeps_majority_without(self, lost: Member) -> bool:
+        """Tell whether a majority of the voters other than ``lost`` responds.
+
+        A membership takes effect once it is in the log, so this majority
+        commits the removal of ``lost``.
+        """
         state = self._state
         now_s = state.clock.now_s()
         limit_s = state.settings.election_timeout_max_s
@@ -412,7 +484,8 @@
             for peer in self._peers
             if now_s - peer.acked_heartbeat_sent_s < limit_s
         )
-        return state.membership.is_majority(responsive - {lost.disk_id})
+        remaining = state.membership.without(lost.name)
+        return remaining.is_majority(responsive - {lost.disk_id})
 
     def _is_caught_up(self, peer: Peer, member: Member) -> bool:
         return (
@@ -432,14 +505,21 @@
         )
 
     def _transfer_target(self) -> Peer | None:
-        """Return the responsive voter with the longest replicated log."""
+        """Return the responsive voter with the longest replicated log.
+
+        Voters that are not departing come first.
+        """
         voters = self._state.membership.voters()
         responsive = [
             peer
             for peer in self._peers
             if peer.disk_id in voters and self._is_responsive(peer)
         ]
-        return max(responsive, key=lambda peer: peer.match_index, default=None)
+        return max(
+            responsive,
+            key=lambda peer: (not peer.is_departing, peer.match_index),
+            default=None,
+        )
 
     async def _send_transfer_request(self, peer: Peer) -> None:
         state = self._state
--- a/libs/consensus/siskinsail_consensus/_membership.py
+++ b/libs/consensus/siskinsail_consensus/_membership.py
@@ -29,6 +29,11 @@
         """Return the member with this name, None if there is none."""
         return next((m for m in self.members if m.name == name), None)
 
+    @property
+    def has_learner(self) -> bool:
+        """Whether a member is not a voter yet."""
+        return not all(m.is_voter for m in self.members)
+
     def voters(self) -> frozenset[DiskId]:
         """Return the disks of the voters."""
         return frozenset(m.disk_id for m in self.members if m.is_voter)
--- a/libs/consensus/siskinsail_consensus/_messages.py
+++ b/libs/consensus/siskinsail_consensus/_messages.py
@@ -19,6 +19,16 @@
 SNAPSHOT = 'consensus.snapshot'
 HAND_OVER = 'consensus.hand_over'
 ANNOUNCE = 'consensus.announce'
+DEPARTURE = 'consensus.departure'
+METHODS = (
+    VOTE,
+    HEARTBEAT,
+    APPEND,
+    SNAPSHOT,
+    HAND_OVER,
+    ANNOUNCE,
+    DEPARTURE,
+)
 
 
 class Message(msgspec.Struct, frozen=True):
@@ -42,6 +52,9 @@
     silence_s: float = 0.0
     leader: str = ''
     is_unheard: bool = False
+    is_departing: bool = False
+    is_succeeded: bool = False
+    is_removed: bool = False
 
     def encode(self) -> bytes:
         """Return the Cap'n Proto bytes."""
@@ -63,6 +76,9 @@
             silenceS=self.silence_s,
             leader=self.leader,
             unheard=self.is_unheard,
+            departing=self.is_departing,
+            succeeded=self.is_succeeded,
+            removed=self.is_removed,
         )
         entries = message.init('entries', len(self.entries))
         for position, record in enumerate(self.entries):
@@ -111,4 +127,7 @@
         silence_s=float(message.silenceS),
         leader=str(message.leader),
         is_unheard=bool(message.unheard),
+        is_departing=bool(message.departing),
+        is_succeeded=bool(message.succeeded),
+        is_removed=bool(message.removed),
     )
--- a/libs/consensus/siskinsail_consensus/_peers.py
+++ b/libs/consensus/siskinsail_consensus/_peers.py
@@ -25,13 +25,15 @@
     ``match_index`` and the other progress fields apply to ``disk_id`` only
     and are reset for a new disk. ``reported_disk_id`` is the disk named in
     the last response, which arrived on the connection with the number
-    ``last_contact_connection``.
+    ``last_contact_connection``. ``is_departing`` tells whether the member
+    said in that response that it stops.
     """
 
     def __init__(self, member: MemberAddress, client: PeerClient) -> None:
         self.member = member
         self.client = client
         self.reported_disk_id = DiskId('')
+        self.is_departing = False
         self.last_contact_s = float('-inf')
         self.last_contact_connection = 0
         self.reset_for_term(1)
@@ -140,6 +142,7 @@
             f'{peer.member.address} responded as {response.sender!r}'
         )
     peer.reported_disk_id = response.sender_disk
+    peer.is_departing = response.is_departing
     peer.last_contact_s = state.clock.now_s()
     peer.last_contact_connection = connection
     return response
--- a/libs/consensus/siskinsail_consensus/_replica.py
+++ b/libs/consensus/siskinsail_consensus/_replica.py
@@ -25,6 +25,7 @@
 from siskinsail_types import VmId
 
 from . import _messages
+from ._departure import Departure
 from ._election import Elections
 from ._errors import LogConflictError
 from ._errors import NotLeaderError
@@ -44,6 +45,8 @@
 from ._state import ReplicaState
 from ._state import StateMachine
 
+RequestHandlerMethod = Callable[[Message], Awaitable[Message]]
+
 _FATAL_ERRORS = (JournalError, LogConflictError)
 
 
@@ -93,7 +96,8 @@
     addresses of further members can be resolved, a member that announces
     itself can replace a failed one: it is added as a learner, becomes a
     voter once it has the whole log, and only then is the failed member
-    removed.
+    removed. A member that stops as planned is replaced in the same order
+    before its process ends, if a successor has announced itself.
 
     References
     ----------
@@ -114,10 +118,12 @@
         self._clock = clock
         self._state: ReplicaState | None = None
         self._leader: Leader | None = None
+        self._departure: Departure | None = None
         self._peers = Peers(settings, network, secret)
-        self._request_handler: RequestHandler | None = None
-        for method, name in _HANDLER_METHODS.items():
-            server.register(method, self._make_handler(name))
+        # Handlers of the requests of other members, by method, while it runs.
+        self._handlers: dict[str, RequestHandlerMethod] = {}
+        for method in _messages.METHODS:
+            server.register(method, self._make_handler(method))
 
     @property
     def leader_id(self) -> VmId | None:
@@ -205,7 +211,10 @@
         )
         leader = Leader(state, self._peers)
         self._state, self._leader = state, leader
-        self._request_handler = RequestHandler(state)
+        self._departure = Departure(state, self._peers, leader)
+        self._handlers = _request_handlers(
+            RequestHandler(state), self._departure
+        )
         try:
             await self._run_tasks(state, leader)
         except BaseExceptionGroup as group:
@@ -214,8 +223,9 @@
                 raise
             raise error from group
         finally:
-            self._request_handler = None
+            self._handlers = {}
             self._leader = None
+            self._departure = None
             state.step_down()
             await _close(state)
 
@@ -293,6 +303,25 @@
         if self._leader is not None:
             await self._leader.transfer_leadership()
 
+    async def hand_over(self) -> None:
+        """Begin a planned stop: let another member lead.
+
+        From now on this member does not stand for election, and the leader
+        replaces it by a successor if one has announced itself.
+        """
+        if self._departure is not None:
+            await self._departure.hand_over()
+
+    async def give_up_vote(self) -> None:
+        """Return once a successor has the vote of this member.
+
+        It returns at once if there is no successor: a member that restarts in
+        place keeps its vote. Without a leader it waits for one, so that the
+        caller has to limit the time.
+        """
+        if self._departure is not None:
+            await self._departure.give_up_vote()
+
     def _not_leader(self) -> NotLeaderError:
         return NotLeaderError(
             f'not the leader; last known leader: {self.leader_id}'
@@ -318,11 +347,11 @@
                 raise state.failure
 
     def _make_handler(
-        self, name: str
+        self, method: str
     ) -> Callable[[VmId, bytes], Awaitable[bytes]]:
         async def handle(caller: VmId, payload: bytes) -> bytes:
-            request_handler, state = self._request_handler, self._state
-            if request_handler is None or state is None:
+            handler, state = self._handlers.get(method), self._state
+            if handler is None or state is None:
                 raise ReplicaNotReadyError(self._settings.vm_id)
             request = Message.decode(payload)
             if request.sender != caller:
@@ -330,9 +359,7 @@
                     'the sender of the message is not the caller'
                 )
             try:
-                response: Message = await getattr(request_handler, name)(
-                    request
-                )
+                response = await handler(request)
             except _FATAL_ERRORS as error:
                 state.fail(error)
                 raise
@@ -341,14 +368,18 @@
         return handle
 
 
-_HANDLER_METHODS = {
-    _messages.VOTE: 'vote',
-    _messages.HEARTBEAT: 'heartbeat',
-    _messages.APPEND: 'append',
-    _messages.SNAPSHOT: 'snapshot',
-    _messages.HAND_OVER: 'hand_over',
-    _messages.ANNOUNCE: 'announce',
-}
+def _request_handlers(
+    handler: RequestHandler, departure: Departure
+) -> dict[str, RequestHandlerMethod]:
+    return {
+        _messages.VOTE: handler.vote,
+        _messages.HEARTBEAT: handler.heartbeat,
+        _messages.APPEND: handler.append,
+        _messages.SNAPSHOT: handler.snapshot,
+        _messages.HAND_OVER: handler.hand_over,
+        _messages.ANNOUNCE: handler.announce,
+        _messages.DEPARTURE: departure.answer,
+    }
 
 
 def _is_reachable(peer: Peer | None, disk_id: DiskId) -> bool:
--- a/libs/consensus/siskinsail_consensus/_replication.py
+++ b/libs/consensus/siskinsail_consensus/_replication.py
@@ -48,8 +48,9 @@
                     await state.changed.wait_for(
                         lambda: self._has_unsent_entries(peer)
                     )
-                if not self._has_updates(peer):
-                    continue
+                # The wait may have ended with the removal of this member,
+                # which must not be the only one that stores it.
+                continue
             if not await self._send(peer):
                 await anyio.sleep(pause_s)
 
--- a/libs/consensus/siskinsail_consensus/_request_handler.py
+++ b/libs/consensus/siskinsail_consensus/_request_handler.py
@@ -52,9 +52,16 @@
                     await state.save_vote(request.term, '')
         silence_s = state.clock.now_s() - state.last_leader_contact_s
         return msgspec.structs.replace(
-            _response(state, accepted=is_granted),
+            _response(
+                state,
+                accepted=is_granted,
+                index=state.committed_membership_index,
+            ),
             silence_s=silence_s,
             is_unheard=not state.has_seen_leader,
+            is_removed=(
+                request.sender_disk not in state.committed_membership.voters()
+            ),
         )
 
     async def heartbeat(self, request: Message) -> Message:
@@ -123,7 +130,11 @@
         """
         state = self._state
         membership = state.membership
-        if request.sender and membership.get(request.sender) is None:
+        if (
+            request.sender
+            and not request.is_departing
+            and membership.get(request.sender) is None
+        ):
             state.record_joining_member(request.sender, request.sender_disk)
         return msgspec.structs.replace(
             state.message(),
@@ -191,6 +202,7 @@
         state.last_leader_contact_s = now_s
         state.election_timer_start_s = now_s
         state.has_seen_leader = True
+        state.is_removed = False
         if state.leader_id != request.sender:
             state.leader_id = request.sender
             state.changed.notify()
--- a/libs/consensus/siskinsail_consensus/_settings.py
+++ b/libs/consensus/siskinsail_consensus/_settings.py
@@ -77,6 +77,9 @@
         Returns the peer address of a member that is not in ``members``, None
         if there is none. This allows a permanently failed member to be
         replaced by one at another address that announces itself.
+    departure_handover_s : float
+        Time limit for a departing leader to promote its successor before it
+        transfers the leadership, in seconds.
     target_voters : int or None
         Target number of voters; None for that of the initial membership.
     replace_after_s : float
@@ -105,6 +108,7 @@
     append_timeout_s: float = 1.0
     announce_interval_s: float = 0.2
     leadership_transfer_timeout_s: float = 1.0
+    departure_handover_s: float = 1.0
     snapshot_interval_entries: int = 1000
     trailing_entries: int = 500
     snapshot_interval_bytes: int = 8 * 1024 * 1024
@@ -122,3 +126,12 @@
     disk: Disk = field(default_factory=FileDisk)
     random: Random = field(default_factory=Random)
     new_id: Callable[[], str] = _new_id
+
+    @property
+    def announcement_validity_s(self) -> float:
+        """Time for which the announcement of a joining member counts.
+
+        A joining member announces itself again within this time, also if a
+        member that it calls does not answer.
+        """
+        return self.election_timeout_max_s + self.append_timeout_s
--- a/libs/consensus/siskinsail_consensus/_state.py
+++ b/libs/consensus/siskinsail_consensus/_state.py
@@ -137,6 +137,11 @@
         self.leader_scope = anyio.CancelScope()
         self.leading_term = 0
         self.transfer_term = 0
+        # Whether this process stops and gives up its vote to a successor.
+        self.is_departing = False
+        # Whether a member knows that this disk is no voter any more. Contact
+        # with a leader shows that it is a member again.
+        self.is_removed = False
         self.failure: SiskinsailError | None = None
         self._state_machine = state_machine
         self._term = journal.metadata.term
@@ -205,6 +210,20 @@
         """Whether this disk has a vote."""
         return self.disk_id in self.membership.voters()
 
+    @property
+    def may_stand_for_election(self) -> bool:
+        """Whether this member may become a candidate by itself."""
+        return self.is_voter and not (self.is_departing or self.is_removed)
+
+    @property
+    def committed_membership_index(self) -> int:
+        """Index of the entry with the latest committed membership."""
+        return next(
+            index
+            for index, _ in reversed(self._memberships)
+            if index <= self.commit_index
+        )
+
     def record_joining_member(self, name: VmId, disk_id: DiskId) -> None:
         """Record a member that can replace a failed one."""
         if len(self._joining_members) >= MAX_JOINING_MEMBERS:
@@ -213,7 +232,7 @@
 
     def joining_member(self) -> Member | None:
         """Return a recently announced member as a learner, None for none."""
-        oldest_s = self.clock.now_s() - self.settings.election_timeout_max_s
+        oldest_s = self.clock.now_s() - self.settings.announcement_validity_s
         for name, (disk_id, announced_s) in sorted(
             self._joining_members.items()
         ):
@@ -233,6 +252,7 @@
             sender_disk=self.disk_id,
             target_disk=target_disk,
             term=self._term,
+            is_departing=self.is_departing,
         )
 
     def leader_message(self, target_disk: DiskId) -> Message:
--- a/libs/consensus/siskinsail_consensus/consensus.capnp
+++ b/libs/consensus/siskinsail_consensus/consensus.capnp
@@ -40,4 +40,12 @@
   # vote response: since its process started, the member has neither led nor
   # had contact with a leader;
   # vote: all voters have reported this to the candidate
+
+  departing @18 :Bool;     # the sender stops and gives up its vote
+  succeeded @19 :Bool;
+  # departure response: a member takes over the place of a departing voter, or
+  # may do so soon
+  removed @20 :Bool;
+  # vote response: the candidate is no voter of the membership that was
+  # committed at index
 }
--- a/libs/daemon/siskinsail_daemon/_control_role.py
+++ b/libs/daemon/siskinsail_daemon/_control_role.py
@@ -71,7 +71,7 @@
             tasks.start_soon(self._replica.run)
             tasks.start_soon(self._service.run)
 
-    async def transfer_leadership(self) -> None:
-        """Transfer leadership to another member; no-op if not the leader."""
-        if self._replica.is_leader:
-            await self._replica.transfer_leadership()
+    async def leave(self) -> None:
+        """Transfer leadership, and the vote if a successor waits for it."""
+        await self._replica.hand_over()
+        await self._replica.give_up_vote()
--- a/libs/daemon/siskinsail_daemon/_daemon.py
+++ b/libs/daemon/siskinsail_daemon/_daemon.py
@@ -177,7 +177,7 @@
         await self._agent.stop()
         if self._control_role is not None:
             with anyio.move_on_after(LEADER_TRANSFER_TIMEOUT_S):
-                await self._control_role.transfer_leadership()
+                await self._control_role.leave()
 
     def _make_agent(
         self, network: Network, borrower: Borrower, metrics: ControlMetrics
--- a/libs/model/siskinsail_model/_commit.py
+++ b/libs/model/siskinsail_model/_commit.py
@@ -5,6 +5,7 @@
 second time only after the membership contains the replacement of the first.
 """
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import dataclass
 from itertools import combinations
@@ -14,7 +15,7 @@
 from ._specification import State
 from ._specification import Transition
 
-MEMBERS = 3
+VOTERS = 3
 # Stands in place of the member in an entry that is a command.
 COMMAND = -1
 
@@ -70,6 +71,8 @@
     commit_index : int
         Number of entries that the member knows to be committed as leader of
         its term.
+    has_ended : int
+        Whether its process has ended for good.
     """
 
     term: int = 0
@@ -77,6 +80,7 @@
     log: Log = ()
     disk_id: int = 1
     commit_index: int = 0
+    has_ended: int = 0
 
 
 # ``committed`` is the longest committed prefix of a log, ``losses`` the number
@@ -90,11 +94,11 @@
     return Specification(
         name='commit',
         fields=FIELDS,
-        initial=((Member(),) * MEMBERS, (), 0, 0),
+        initial=((Member(),) * VOTERS, (), 0, 0),
         transitions=lambda state: _transitions(state, rules),
         invariants={
             'committed_entries_survive': lambda state: (
-                _leader_has_committed_entries(
+                leader_has_committed_entries(
                     state['members'], state['committed']
                 )
             ),
@@ -103,7 +107,7 @@
     )
 
 
-def _leader_has_committed_entries(
+def leader_has_committed_entries(
     members: tuple[Member, ...], committed: Log
 ) -> bool:
     latest_term = max(member.term for member in members)
@@ -114,9 +118,9 @@
     )
 
 
-def _voter_disks(log: Log) -> dict[int, int]:
+def voter_disks_of(log: Log) -> dict[int, int]:
     """Return the disk id of each voting member according to a log."""
-    disks = dict.fromkeys(range(MEMBERS), 1)
+    disks = dict.fromkeys(range(VOTERS), 1)
     for _, member, disk_id in log:
         if member != COMMAND:
             disks[member] = disk_id
@@ -124,28 +128,28 @@
 
 
 def _transitions(state: State, rules: CommitRules) -> Iterator[Transition]:
-    for index in range(MEMBERS):
-        yield from _elect(state, index, rules)
+    for index in range(VOTERS):
+        yield from elect(state, index, rules)
         if state[0][index].is_leader:
             yield from _append(state, index, rules)
-            yield from _replicate(state, index)
-            yield from _commit(state, index, rules)
+            yield from replicate(state, index, range(VOTERS))
+            yield from commit(state, index, rules)
         yield from _fail(state, index, rules)
 
 
-def _replace_member(
+def replace_member(
     members: tuple[Member, ...], index: int, member: Member
 ) -> tuple[Member, ...]:
     return (*members[:index], member, *members[index + 1 :])
 
 
-def _is_voter(
+def is_voter(
     member: Member,
     index: int,
     voter_disks: dict[int, int],
     rules: CommitRules,
 ) -> bool:
-    if index not in voter_disks:
+    if index not in voter_disks or member.has_ended:
         return False
     return voter_disks[index] == member.disk_id or not rules.checks_disk_id
 
@@ -154,21 +158,20 @@
     return (log[-1][0] if log else 0, len(log))
 
 
-def _elect(
+def elect(
     state: State, index: int, rules: CommitRules
 ) -> Iterator[Transition]:
     members, committed, losses, conflict = state
     candidate = members[index]
-    voter_disks = _voter_disks(candidate.log)
-    if not _is_voter(candidate, index, voter_disks, rules):
+    voter_disks = voter_disks_of(candidate.log)
+    if not is_voter(candidate, index, voter_disks, rules):
         return
     majority = len(voter_disks) // 2 + 1
-    for quorum in combinations(range(MEMBERS), majority):
+    for quorum in combinations(range(len(members)), majority):
         if index not in quorum:
             continue
         if not all(
-            _grants_vote(members[i], i, candidate, index, rules)
-            for i in quorum
+            grants_vote(members[i], i, candidate, index, rules) for i in quorum
         ):
             continue
         term = max(members[i].term for i in quorum) + 1
@@ -179,14 +182,14 @@
             member = members[i]._replace(
                 term=term, is_leader=int(i == index), commit_index=0
             )
-            next_members = _replace_member(next_members, i, member)
+            next_members = replace_member(next_members, i, member)
         yield (
             f'elect({index},{quorum})',
             (next_members, committed, losses, conflict),
         )
 
 
-def _grants_vote(
+def grants_vote(
     voter: Member,
     voter_index: int,
     candidate: Member,
@@ -195,7 +198,7 @@
 ) -> bool:
     if voter_index == candidate_index:
         return True
-    if not _is_voter(voter, voter_index, _voter_disks(candidate.log), rules):
+    if not is_voter(voter, voter_index, voter_disks_of(candidate.log), rules):
         return False
     return not rules.checks_log_up_to_date or _last_term_and_index(
         voter.log
@@ -215,7 +218,7 @@
     has_committed = leader.commit_index > 0
     uncommitted = leader.log[leader.commit_index :]
     if has_committed and not any(entry[1] != COMMAND for entry in uncommitted):
-        voter_disks = _voter_disks(leader.log)
+        voter_disks = voter_disks_of(leader.log)
         for i, member in enumerate(members):
             if i in voter_disks and voter_disks[i] != member.disk_id:
                 entries.append((leader.term, i, 0))
@@ -226,7 +229,7 @@
         yield (
             f'append({index},{entry})',
             (
-                _replace_member(members, index, next_leader),
+                replace_member(members, index, next_leader),
                 committed,
                 losses,
                 conflict,
@@ -234,11 +237,15 @@
         )
 
 
-def _replicate(state: State, index: int) -> Iterator[Transition]:
+def replicate(
+    state: State, index: int, targets: Iterable[int]
+) -> Iterator[Transition]:
+    """Yield the replication of the whole log to each of the targets."""
     members, committed, losses, conflict = state
     leader = members[index]
-    for i, member in enumerate(members):
-        if i == index or member.term > leader.term:
+    for i in targets:
+        member = members[i]
+        if i == index or member.has_ended or member.term > leader.term:
             continue
         if member.log == leader.log and member.term == leader.term:
             continue
@@ -248,7 +255,7 @@
         yield (
             f'transfer({index},{i})',
             (
-                _replace_member(members, i, follower),
+                replace_member(members, i, follower),
                 committed,
                 losses,
                 conflict,
@@ -256,18 +263,18 @@
         )
 
 
-def _commit(
+def commit(
     state: State, index: int, rules: CommitRules
 ) -> Iterator[Transition]:
     members, committed, losses, conflict = state
     leader = members[index]
-    voter_disks = _voter_disks(leader.log)
+    voter_disks = voter_disks_of(leader.log)
     for length in range(leader.commit_index + 1, len(leader.log) + 1):
         prefix = leader.log[:length]
         if prefix[-1][0] != leader.term and rules.commits_own_term_only:
             continue
         replica_count = sum(
-            _is_voter(member, i, voter_disks, rules)
+            is_voter(member, i, voter_disks, rules)
             and member.log[:length] == prefix
             for i, member in enumerate(members)
         )
@@ -275,7 +282,7 @@
             continue
         shortest, longest = sorted((prefix, committed), key=len)
         next_conflict = int(conflict or longest[: len(shortest)] != shortest)
-        next_members = _replace_member(
+        next_members = replace_member(
             members, index, leader._replace(commit_index=length)
         )
         yield (
@@ -297,7 +304,7 @@
         yield (
             f'crash({index})',
             (
-                _replace_member(members, index, restarted),
+                replace_member(members, index, restarted),
                 committed,
                 losses,
                 conflict,
@@ -309,7 +316,7 @@
     yield (
         f'lose_disk({index})',
         (
-            _replace_member(members, index, wiped),
+            replace_member(members, index, wiped),
             committed,
             losses + 1,
             conflict,
@@ -319,8 +326,8 @@
 
 def _is_repaired(members: tuple[Member, ...], committed: Log) -> bool:
     """Tell whether the committed membership contains all present disks."""
-    voter_disks = _voter_disks(committed)
-    return len(voter_disks) == MEMBERS and all(
+    voter_disks = voter_disks_of(committed)
+    return len(voter_disks) == VOTERS and all(
         voter_disks[i] == member.disk_id for i, member in enumerate(members)
     )
 
--- a/libs/model/siskinsail_model/_suite.py
+++ b/libs/model/siskinsail_model/_suite.py
@@ -6,6 +6,9 @@
 from ._commit import BROKEN_COMMIT_RULES
 from ._commit import commit_specification
 from ._commit import CommitRules
+from ._departure import BROKEN_DEPARTURE_RULES
+from ._departure import departure_specification
+from ._departure import DepartureRules
 from ._leases import BROKEN_LEASE_RULES
 from ._leases import lease_specification
 from ._loans import BROKEN_LOAN_RULES
@@ -40,6 +43,9 @@
     yield Case(commit_specification(), '')
     for name, commit in BROKEN_COMMIT_RULES.items():
         yield Case(commit_specification(commit), name)
+    yield Case(departure_specification(), '')
+    for name, departure in BROKEN_DEPARTURE_RULES.items():
+        yield Case(departure_specification(departure), name)
     yield Case(primary_specification(), '')
     for name, primary in BROKEN_PRIMARY_RULES.items():
         yield Case(primary_specification(primary), name)
@@ -61,6 +67,9 @@
     """Return the specifications with bounds small enough for a test run."""
     return [
         commit_specification(CommitRules(max_log_length=3, max_disk_losses=1)),
+        departure_specification(
+            DepartureRules(commit=CommitRules(max_term=2, max_log_length=3))
+        ),
         primary_specification(),
         loan_specification(),
         lease_specification(),
