Promote only a database that has each acknowledged write

Cause: two databases that stay were taken to include each acknowledged write, which holds for a group of three. While a replica is replaced there are four; the write is on two of them, so three must answer. The replica that leaves had the greatest position and was passed over.

Change: choose_primary decides without a network, from the databases that may hold an acknowledged write now (leaving, new and silent ones included), the number of confirming replicas, standings and positions. The change waits for the answers that are missing and names them in its log. Replicas of the platform are paused before their positions are compared where they confirm writes. A planned change waits up to 1 s for a database that stays to catch up.

--- a/libs/control/siskinsail_control/_admin_client.py
+++ b/libs/control/siskinsail_control/_admin_client.py
@@ -68,7 +68,7 @@
         return ProbeResult.NOT_PRIMARY
 
     async def fence(
-        self, server: BackendServer, term: Term
+        self, server: BackendServer, term: Term, *, stops_replication: bool
     ) -> FencedDatabase | None:
         """Have a database adopt ``term``; return None if it did not."""
         try:
@@ -84,6 +84,9 @@
             return None
         return FencedDatabase(server, fenced.log_term, fenced.index)
 
+    async def resume_replication(self, server: BackendServer) -> None:
+        """Do nothing, since a database does not leave its term."""
+
     async def promote(self, server: BackendServer, term: Term) -> bool:
         """Promote a database to primary of ``term``."""
         return await self._post(server, '/v1/promote', {'term': term})
--- a/libs/control/siskinsail_control/_admin_port.py
+++ b/libs/control/siskinsail_control/_admin_port.py
@@ -54,12 +54,26 @@
         ...
 
     async def fence(
-        self, server: BackendServer, term: Term
+        self, server: BackendServer, term: Term, *, stops_replication: bool
     ) -> FencedDatabase | None:
         """Have a database adopt ``term``; return None if it did not.
 
         For databases without such an order, this only reads the end of the
-        log, and safety rests on the daemon leases alone.
+        log, and the daemon leases alone keep writes from the old primary.
+
+        Parameters
+        ----------
+        stops_replication : bool
+            Whether a replica must receive nothing more until a database is
+            promoted or it follows a primary, since the receipt of a write
+            acknowledges it. Databases that adopt a term always stop.
+        """
+        ...
+
+    async def resume_replication(self, server: BackendServer) -> None:
+        """Let a replica receive again from the primary that it had.
+
+        Without effect on databases that adopted a term.
         """
         ...
 
--- a/libs/control/siskinsail_control/_membership.py
+++ b/libs/control/siskinsail_control/_membership.py
@@ -19,6 +19,9 @@
 # sequence number that is further ahead was not sent by that database, and
 # would make all its later announcements outdated.
 MAX_SEQUENCE_GAP = 1_000
+# Replicas lag by less. What a silent replica received this long before the
+# last evidence of the primary, the others have received as well.
+SILENT_HOLDER_S = 10.0
 
 
 class _MemberRecord(msgspec.Struct):
@@ -55,6 +58,8 @@
         self._databases_by_group: dict[ServiceId, dict[DatabaseId, None]] = {}
         self._answered_s: dict[DatabaseId, float] = {}
         self._refused_s: dict[DatabaseId, float] = {}
+        # Last announcements, as times, of databases that fell silent.
+        self._silent_since_s: dict[DatabaseId, float] = {}
         # Last announcements of databases that were stopped. A delayed
         # announcement of the same incarnation must not add them again.
         self._departed: dict[DatabaseId, BackendServer] = {}
@@ -163,6 +168,7 @@
         del self._records[database]
         self._remove_address(record.latest)
         self._departed[database] = record.latest
+        self._silent_since_s.pop(database, None)
         if len(self._departed) > MAX_KNOWN_DATABASES:
             del self._departed[next(iter(self._departed))]
         return True
@@ -177,6 +183,7 @@
         ]
         for record in unresponsive:
             del self._records[record.latest.database]
+            self._silent_since_s[record.latest.database] = record.received_s
             self._remove_address(record.latest)
             if (
                 record.conflicting is not None
@@ -201,6 +208,33 @@
             server for server in self._known.values() if server.group == group
         )
 
+    def possible_holders(
+        self, group: ServiceId, primary_alive_s: float
+    ) -> tuple[BackendServer, ...]:
+        """Return the databases that may hold an acknowledged write.
+
+        These are the members and those that fell silent. A write that one of
+        the silent ones has received is elsewhere too if the primary was alive
+        long after that.
+
+        Parameters
+        ----------
+        primary_alive_s : float
+            Time of the last evidence that the primary was alive, minus
+            infinity if that is not known.
+        """
+        limit_s = primary_alive_s - SILENT_HOLDER_S
+        return tuple(
+            server
+            for server in self.known_servers(group)
+            if server.database in self._records
+            or self._fell_silent_after(server.database, limit_s)
+        )
+
+    def _fell_silent_after(self, database: DatabaseId, time_s: float) -> bool:
+        silent_since_s = self._silent_since_s.get(database)
+        return silent_since_s is not None and silent_since_s >= time_s
+
     def known_server(self, database: DatabaseId) -> BackendServer | None:
         """Return the last announcement of a database, member or not."""
         return self._known.get(database)
@@ -321,6 +355,7 @@
         earlier = self._records.get(server.database)
         if earlier is not None:
             self._remove_address(earlier.latest)
+        self._silent_since_s.pop(server.database, None)
         self._records[server.database] = _MemberRecord(
             server, server, received_s
         )
--- a/libs/control/siskinsail_control/_primary_change.py
+++ b/libs/control/siskinsail_control/_primary_change.py
@@ -1,5 +1,7 @@
 """Failover and planned changes of the primary of a database group."""
 
+import math
+
 import anyio
 from returns.result import Success
 
@@ -19,10 +21,25 @@
 from ._commands import RegisterGroup
 from ._commands import StartPrimaryChange
 from ._leader_context import LeaderContext
+from ._primary_choice import can_catch_up
+from ._primary_choice import Candidate
+from ._primary_choice import Choice
+from ._primary_choice import choose_primary
+from ._primary_choice import Standing
+from ._primary_choice import WriteDurability
 from ._state import ACCEPTED
 
 # Pause before databases that did not answer are fenced again.
 RETRY_DELAY_S = 0.1
+# Time for which a planned change waits until a database that stays has caught
+# up with the primary.
+_CATCH_UP_TIMEOUT_S = 1.0
+# Time in which the others catch up with a database that was promoted although
+# it leaves.
+_CATCH_UP_PAUSE_S = 1.0
+# Databases announce themselves at least this often to be members, so an answer
+# that is missing for longer is reported.
+_MISSING_ANSWER_LOG_S = 5.0
 
 
 class GroupManager:
@@ -57,6 +74,7 @@
         self._last_failed_probe_s = 0.0
         self._was_probe_refused = False
         self._follow_targets: dict[DatabaseId, tuple[str, Term]] = {}
+        self._primary_alive_s = -math.inf
 
     async def run(self) -> None:
         """Monitor the group and change its primary until cancelled."""
@@ -238,6 +256,7 @@
     async def _change(self, state: GroupState, reason: str) -> None:
         started_s = self._clock.now_s()
         servers = self._membership.group_members(self._group)
+        self._primary_alive_s = self._primary_alive_at(state)
         highest_known_term = max(
             (server.term for server in servers), default=Term(0)
         )
@@ -265,7 +284,7 @@
             tasks.start_soon(self._context.daemon_table.wait_settled, version)
             tasks.start_soon(self._wait_turn, wait_s)
             fenced = await self._fence(term)
-        candidate = self._choose_candidate(fenced)
+        candidate = await self._choose_candidate(term, fenced)
         if not self._context.holds_leader_lease:
             return
         if not await self._promote(candidate, term):
@@ -283,7 +302,7 @@
             or finished.unwrap().output != ACCEPTED
         ):
             return
-        self._record_completion(candidate, term, reason, started_s)
+        self._record_completion(state, candidate, term, reason, started_s)
 
     async def _wait_turn(self, wait_s: float) -> None:
         if wait_s > 0:
@@ -302,6 +321,7 @@
 
     def _record_completion(
         self,
+        state: GroupState,
         candidate: FencedDatabase,
         term: Term,
         reason: str,
@@ -311,8 +331,10 @@
         self._follow_targets.clear()
         self._watched_since_s = now_s
         if self._is_leaving(candidate.database):
-            self._planned_change_blocked_until_s = (
-                now_s + self._settings.hold_down_s
+            # A change that led to the same primary would do so again soon.
+            is_same = candidate.database == state.primary
+            self._planned_change_blocked_until_s = now_s + (
+                self._settings.hold_down_s if is_same else _CATCH_UP_PAUSE_S
             )
         duration_s = now_s - started_s
         self._context.metrics.primary_changes.labels(reason).observe(
@@ -327,8 +349,9 @@
         )
 
     async def _fence(self, term: Term) -> list[FencedDatabase]:
-        """Fence databases until a majority of the group is fenced."""
+        """Fence databases until those that answered suffice for a choice."""
         fenced: dict[DatabaseId, FencedDatabase] = {}
+        logged_s = self._clock.now_s()
         while True:
             done = anyio.Event()
             with anyio.move_on_after(self._settings.admin_timeout_s) as scope:
@@ -339,8 +362,11 @@
                                 self._fence_one, server, term, fenced, done
                             )
                     tasks.start_soon(self._limit_fencing, done, scope)
-            if len(fenced) >= self._settings.majority:
+            if len(fenced) >= self._durability().required_answers:
                 return list(fenced.values())
+            if self._clock.now_s() - logged_s >= _MISSING_ANSWER_LOG_S:
+                logged_s = self._clock.now_s()
+                self._log_missing_answers(fenced)
             await anyio.sleep(RETRY_DELAY_S)
 
     async def _fence_one(
@@ -350,50 +376,117 @@
         fenced: dict[DatabaseId, FencedDatabase],
         done: anyio.Event,
     ) -> None:
-        answer = await self._admin.fence(server, term)
+        durability = self._durability()
+        answer = await self._admin.fence(
+            server,
+            term,
+            stops_replication=durability.confirming_replicas > 0,
+        )
         if answer is not None:
             fenced[server.database] = answer
-        if len(fenced) >= self._settings.majority:
+        if len(fenced) >= durability.required_answers:
             done.set()
 
+    def _log_missing_answers(
+        self, fenced: dict[DatabaseId, FencedDatabase]
+    ) -> None:
+        """Log which databases may hold writes that no other one has."""
+        holders = self._possible_holders()
+        log_event(
+            'control_primary_change_waits',
+            group=self._group,
+            answered=sorted(fenced),
+            missing=sorted({one.database for one in holders} - fenced.keys()),
+            required=self._durability().required_answers,
+        )
+
     async def _limit_fencing(
         self, done: anyio.Event, scope: anyio.CancelScope
     ) -> None:
-        """End the fencing shortly after a majority of the group is fenced."""
+        """End the fencing shortly after enough databases are fenced."""
         with anyio.move_on_after(self._settings.admin_timeout_s):
             await done.wait()
             scope.deadline = (
                 anyio.current_time() + self._settings.fence_grace_s
             )
 
-    def _choose_candidate(
-        self, fenced: list[FencedDatabase]
+    async def _choose_candidate(
+        self, term: Term, fenced: list[FencedDatabase]
     ) -> FencedDatabase:
-        """Choose the database to promote.
-
-        The greatest position among a majority includes every acknowledged
-        write. A database that takes new work is preferred to a leaving one
-        only if it has that position, or if the databases that take new work
-        are a majority themselves. Of databases with equal positions, the
-        previous primary is preferred, so that a new group keeps the primary
-        that the platform assigned.
+        """Choose the database to promote; wait for one that stays if it can.
+
+        No daemon writes to the group any more, so that a replica that still
+        receives from the primary catches up with it.
         """
-        best = max(fenced, key=promotion_rank)
+        deadline_s = self._clock.now_s() + _CATCH_UP_TIMEOUT_S
+        while True:
+            candidates = [self._candidate(one) for one in fenced]
+            choice = choose_primary(candidates, self._durability())
+            if (
+                choice.is_final
+                or not can_catch_up(candidates)
+                or self._clock.now_s() >= deadline_s
+            ):
+                self._log_choice(choice, candidates)
+                return choice.candidate.fenced
+            for one in fenced:
+                await self._admin.resume_replication(one.server)
+            await anyio.sleep(RETRY_DELAY_S)
+            fenced = await self._fence(term)
+
+    def _candidate(self, fenced: FencedDatabase) -> Candidate:
         view = self._context.view_log.view
-        staying = [
-            database
-            for database in fenced
-            if view.accepts_new_work(database.server)
-        ]
-        if not staying:
-            return best
-        best_staying = max(staying, key=promotion_rank)
-        if (
-            len(staying) >= self._settings.majority
-            or best_staying.position == best.position
-        ):
-            return best_staying
-        return best
+        standing = (
+            Standing.STAYING
+            if view.accepts_new_work(fenced.server)
+            else Standing.LEAVING
+        )
+        return Candidate(fenced, standing)
+
+    def _log_choice(self, choice: Choice, candidates: list[Candidate]) -> None:
+        log_event(
+            'control_primary_chosen',
+            group=self._group,
+            database=choice.candidate.database,
+            is_final=choice.is_final,
+            required=self._durability().required_answers,
+            candidates={
+                one.database: f'{one.standing.value} at {one.position}'
+                for one in candidates
+            },
+        )
+
+    def _primary_alive_at(self, state: GroupState) -> float:
+        """Return when the primary was alive, minus infinity if unknown."""
+        if state.primary is None:
+            return -math.inf
+        return self._membership.evidence_s(state.primary, state.term)
+
+    def _possible_holders(self) -> tuple[BackendServer, ...]:
+        return self._membership.possible_holders(
+            self._group, self._primary_alive_s
+        )
+
+    def _durability(self) -> WriteDurability:
+        """Return what the acknowledgement of a write says at this time."""
+        holders = self._possible_holders()
+        count = len(holders)
+        states_terms = any(server.has_term for server in holders)
+        has_primary = any(
+            server.role is DatabaseRole.PRIMARY for server in holders
+        )
+        if not states_terms and not has_primary:
+            # The platform gave the group a primary that this leader has not
+            # heard of.
+            count += 1
+        service = self._context.view_log.view.services.get(self._group)
+        replicas = 0 if service is None else service.confirming_replicas
+        # Writes to databases that state their terms wait for a replica.
+        return WriteDurability(
+            count,
+            max(replicas, 1) if states_terms else replicas,
+            self._settings.majority,
+        )
 
     async def _redirect_followers(self, state: GroupState) -> None:
         """Order databases that do not follow the primary to follow it."""
@@ -433,9 +526,3 @@
                 primary.admin_address,
                 term,
             )
-
-
-def promotion_rank(fenced: FencedDatabase) -> tuple[tuple[int, int], bool]:
-    """Return the sort key for promotion: position, then previous primary."""
-    is_primary = fenced.server.role is DatabaseRole.PRIMARY
-    return (fenced.position, is_primary)
--- a/libs/control/tests/database_group.py
+++ b/libs/control/tests/database_group.py
@@ -14,6 +14,8 @@
 from .conftest import wait_until
 
 NAMES = ('db0', 'db1', 'db2')
+# Started by a test in place of another one.
+SPARE_NAMES = ('db3',)
 
 
 class DatabaseGroup:
@@ -58,7 +60,8 @@
             await server.serve(task_status=task_status)
 
     def host(self, name: str) -> str:
-        return f'127.5.{NAMES.index(name) + 1}.1'
+        number = (NAMES + SPARE_NAMES).index(name) + 1
+        return f'127.5.{number}.1'
 
     def kill(self, name: str) -> None:
         self._scopes[name].cancel()
--- a/libs/control/tests/test_membership.py
+++ b/libs/control/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Tests of the membership with unresponsive, moved and delayed databases."""
 
+import math
+
 import msgspec
 import pytest
 
@@ -46,6 +48,42 @@
     assert membership.known_servers('g') == (SERVER,)
 
 
+@pytest.mark.parametrize(
+    ('silent_s', 'primary_silent_s', 'is_departed', 'is_holder'),
+    [
+        # The primary failed soon after the replica, or lives.
+        (3.0, 2.0, False, True),
+        (12.0, 11.0, False, True),
+        (3.0, 0.0, False, True),
+        # The primary acknowledged writes long after the replica had failed,
+        # which others have received.
+        (14.0, 2.0, False, False),
+        # Not known when the primary was alive.
+        (14.0, None, False, True),
+        # It has said that it ends.
+        (3.0, 2.0, True, False),
+    ],
+)
+def test_silent_databases_that_may_hold_an_acknowledged_write(
+    silent_s, primary_silent_s, is_departed, is_holder
+):
+    # Fails if a change of primary does not wait for a replica that may have
+    # the last writes, or waits for one that was lost long ago.
+    membership, clock = _membership()
+    membership.record_announcement(SERVER, 0.0)
+    if is_departed:
+        membership.mark_departed(SERVER.database, SERVER.incarnation)
+    clock.advance(silent_s)
+    membership.expire()
+    alive_s = (
+        -math.inf
+        if primary_silent_s is None
+        else clock.now_s() - primary_silent_s
+    )
+    holders = membership.possible_holders('g', alive_s)
+    assert bool(holders) is is_holder
+
+
 @pytest.mark.parametrize(
     ('change', 'age_s', 'is_change'),
     [
--- a/libs/control/tests/test_primary_change.py
+++ b/libs/control/tests/test_primary_change.py
@@ -14,7 +14,7 @@
 from siskinsail_control import encode_command
 from siskinsail_control import StartPrimaryChange
 from siskinsail_control._admin_client import FencedDatabase
-from siskinsail_control._primary_change import promotion_rank
+from siskinsail_control._primary_choice import promotion_rank
 from siskinsail_types import DatabaseRole
 from siskinsail_types import GroupPhase
 from siskinsail_types import LeaseState
--- a/libs/model/siskinsail_model/_primary.py
+++ b/libs/model/siskinsail_model/_primary.py
@@ -1,28 +1,41 @@
 """Specification of the change of primary of one database group.
 
-The group consists of three databases. One entry VM writes, and a control
-leader changes the primary. Entries are numbered in the order in which they are
-written. One database at a time may be down, and another control leader may
-restart the change of primary.
+The group consists of three databases, or of four while one is replaced. One
+entry VM writes, and a control leader changes the primary. Entries are numbered
+in the order in which they are written. One database at a time may be down, and
+another control leader may restart the change of primary.
 """
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+from enum import unique
 from typing import NamedTuple
 
 from ._specification import Specification
 from ._specification import State
 from ._specification import Transition
 
-DATABASES = 3
-MAJORITY = 2
-MAX_TERM = 3
-MAX_ENTRIES = 2
 NO_DATABASE = -1
 
 Log = tuple[tuple[int, int], ...]
 
 
+@unique
+class Standing(Enum):
+    """Which work a database may still get.
+
+    ``LEAVING`` is replaced and still receives. ``OUT`` is in a data centre
+    that is out of service, and must run nothing.
+    """
+
+    STAYING = 'staying'
+    LEAVING = 'leaving'
+    OUT = 'out'
+
+
 @dataclass(frozen=True)
 class PrimaryRules:
     """Mechanisms of the protocol, each disabled by a broken variant.
@@ -41,6 +54,18 @@
         writes of the old term.
     fence_stops_replication : bool
         A fenced database accepts no entries of a lower term.
+    counts_all_holders : bool
+        The number of databases to fence counts those that leave and that are
+        new.
+    prefers_staying_only_if_complete : bool
+        A database that leaves is passed over only if those that stay include
+        each acknowledged write.
+    keeps_writes_from_out : bool
+        No statement is sent to a database that is out of service.
+    standings : tuple of Standing
+        The databases; the first one is the primary at the start.
+    max_term, max_entries : int
+        Bounds on the terms and on the entries written.
     """
 
     waits_for_replica: bool = True
@@ -48,6 +73,24 @@
     promotes_most_advanced: bool = True
     stops_writers: bool = True
     fence_stops_replication: bool = True
+    counts_all_holders: bool = True
+    prefers_staying_only_if_complete: bool = True
+    keeps_writes_from_out: bool = True
+    standings: tuple[Standing, ...] = (Standing.STAYING,) * 3
+    max_term: int = 3
+    max_entries: int = 2
+
+    @property
+    def required_answers(self) -> int:
+        """Number of databases to fence: one holds each acknowledged write.
+
+        A write is on the primary and on one replica when it is acknowledged.
+        """
+        if not self.fences_majority:
+            return 1
+        if not self.counts_all_holders:
+            return 2
+        return max(2, len(self.standings) - 1)
 
 
 class Database(NamedTuple):
@@ -118,18 +161,24 @@
 FIELDS = ('databases', 'control', 'writer', 'acknowledged', 'late')
 
 
-def primary_specification(rules: PrimaryRules | None = None) -> Specification:
+def primary_specification(
+    rules: PrimaryRules | None = None, name: str = 'primary'
+) -> Specification:
     """Build the specification of the change of primary."""
     rules = rules or PrimaryRules()
-    databases = (Database(primary_term=1), Database(), Database())
+    replicas = (Database(),) * (len(rules.standings) - 1)
+    databases = (Database(primary_term=1), *replicas)
     return Specification(
-        name='primary',
+        name=name,
         fields=FIELDS,
         initial=(databases, Control(), Writer(), (), 0),
         transitions=lambda state: _transitions(state, rules),
         invariants={
             'acknowledged_entries_survive': _primary_has_acknowledged_entries,
             'no_late_acknowledgement': lambda state: not state['late'],
+            'nothing_runs_out_of_service': lambda state: (
+                not _has_write_out_of_service(state, rules)
+            ),
             'one_primary_a_term': lambda state: _has_one_primary_per_term(
                 state['databases']
             ),
@@ -150,6 +199,17 @@
     return all(entry in log for entry in acknowledged)
 
 
+def _has_write_out_of_service(
+    state: dict[str, object], rules: PrimaryRules
+) -> bool:
+    writer = state['writer']
+    assert isinstance(writer, Writer)
+    return bool(
+        writer.in_flight
+        and rules.standings[writer.in_flight[0]] is Standing.OUT
+    )
+
+
 def _has_one_primary_per_term(databases: tuple[Database, ...]) -> bool:
     terms = [
         database.primary_term
@@ -176,7 +236,7 @@
 ) -> Iterator[Transition]:
     databases = state[0]
     for index, database in enumerate(databases):
-        all_up = sum(other.is_up for other in databases) == DATABASES
+        all_up = all(other.is_up for other in databases)
         if database.is_up and all_up:
             down = database._replace(is_up=0)
             yield (
@@ -190,7 +250,7 @@
                 (_replace_database(databases, index, up), *state[1:]),
             )
         if database.primary_term and database.is_up:
-            for replica in range(DATABASES):
+            for replica in range(len(databases)):
                 yield from _replicate(state, index, replica, rules)
 
 
@@ -235,8 +295,8 @@
                 late,
             ),
         )
-    elif writer.term and writer.entry_count < MAX_ENTRIES:
-        yield from _write(state)
+    elif writer.term and writer.entry_count < rules.max_entries:
+        yield from _write(state, rules)
     if writer.term and writer.term < control.term:
         # The entry VM learns of the change of primary, or its lease ends.
         stopped = writer._replace(term=0)
@@ -246,11 +306,14 @@
         yield 'start', (databases, control, started, acknowledged, late)
 
 
-def _write(state: State) -> Iterator[Transition]:
+def _write(state: State, rules: PrimaryRules) -> Iterator[Transition]:
     databases, control, writer, acknowledged, late = state
     target = databases[writer.target]
     if not target.is_up or target.primary_term != writer.term:
         return
+    is_out = rules.standings[writer.target] is Standing.OUT
+    if is_out and rules.keeps_writes_from_out:
+        return
     entry = (writer.term, writer.entry_count + 1)
     next_target = target._replace(log=(*target.log, entry))
     next_writer = writer._replace(
@@ -298,7 +361,7 @@
     state: State, rules: PrimaryRules
 ) -> Iterator[Transition]:
     databases, control, writer, acknowledged, late = state
-    if control.term < MAX_TERM:
+    if control.term < rules.max_term:
         new_change = Control(control.term + 1, NO_DATABASE)
         yield 'decide', (databases, new_change, writer, acknowledged, late)
     if control.primary != NO_DATABASE:
@@ -331,8 +394,7 @@
 
 def _may_promote(state: State, rules: PrimaryRules) -> bool:
     _, control, writer, _, _ = state
-    required_count = MAJORITY if rules.fences_majority else 1
-    if len(control.fenced) < required_count:
+    if len(control.fenced) < rules.required_answers:
         return False
     has_stopped = writer.term == 0 or writer.term >= control.term
     return has_stopped or not rules.stops_writers
@@ -345,10 +407,8 @@
         # The control leader knows the positions from the answers to the
         # fencing. The log of a fenced database does not change before one of
         # them is promoted.
-        greatest = max(_position(databases[i].log) for i in control.fenced)
-        candidates = [
-            i for i in candidates if _position(databases[i].log) == greatest
-        ]
+        chosen = _choose(databases, control.fenced, rules)
+        candidates = [i for i in candidates if i in chosen]
     for index in candidates:
         promoted = databases[index]._replace(
             primary_term=control.term, replicated_length=0
@@ -366,6 +426,38 @@
         )
 
 
+def _choose(
+    databases: tuple[Database, ...],
+    fenced: tuple[int, ...],
+    rules: PrimaryRules,
+) -> list[int]:
+    """Return the databases that may be promoted."""
+    best = _most_advanced(databases, fenced)
+    position = _position(databases[best[0]].log)
+    for standings in (
+        (Standing.STAYING,),
+        (Standing.STAYING, Standing.LEAVING),
+    ):
+        able = [i for i in fenced if rules.standings[i] in standings]
+        if not able:
+            continue
+        chosen = _most_advanced(databases, able)
+        if (
+            len(able) >= rules.required_answers
+            or _position(databases[chosen[0]].log) == position
+            or not rules.prefers_staying_only_if_complete
+        ):
+            return chosen
+    return best
+
+
+def _most_advanced(
+    databases: tuple[Database, ...], indices: Sequence[int]
+) -> list[int]:
+    greatest = max(_position(databases[i].log) for i in indices)
+    return [i for i in indices if _position(databases[i].log) == greatest]
+
+
 def _position(log: Log) -> tuple[int, int]:
     return (log[-1][0] if log else 0, len(log))
 
@@ -379,3 +471,33 @@
         fence_stops_replication=False
     ),
 }
+
+REPLACEMENT_RULES = PrimaryRules(
+    standings=(
+        Standing.STAYING,
+        Standing.LEAVING,
+        Standing.STAYING,
+        Standing.STAYING,
+    ),
+    max_term=2,
+    max_entries=1,
+)
+EVACUATION_RULES = PrimaryRules(
+    standings=(Standing.STAYING, Standing.OUT, Standing.STAYING)
+)
+BROKEN_REPLACEMENT_RULES = {
+    'a majority of three in a group of four': replace(
+        REPLACEMENT_RULES, counts_all_holders=False
+    ),
+    'a database that stays at any position': replace(
+        REPLACEMENT_RULES, prefers_staying_only_if_complete=False
+    ),
+}
+BROKEN_EVACUATION_RULES = {
+    'writes to a primary that is out of service': replace(
+        EVACUATION_RULES, keeps_writes_from_out=False
+    ),
+    'a complete database that is out of service passed over': replace(
+        EVACUATION_RULES, prefers_staying_only_if_complete=False
+    ),
+}
--- a/libs/model/siskinsail_model/_suite.py
+++ b/libs/model/siskinsail_model/_suite.py
@@ -15,8 +15,12 @@
 from ._loans import loan_specification
 from ._orders import BROKEN_ORDER_RULES
 from ._orders import order_specification
+from ._primary import BROKEN_EVACUATION_RULES
 from ._primary import BROKEN_PRIMARY_RULES
+from ._primary import BROKEN_REPLACEMENT_RULES
+from ._primary import EVACUATION_RULES
 from ._primary import primary_specification
+from ._primary import REPLACEMENT_RULES
 from ._specification import Specification
 from ._usage import BROKEN_USAGE_RULES
 from ._usage import usage_specification
@@ -49,6 +53,12 @@
     yield Case(primary_specification(), '')
     for name, primary in BROKEN_PRIMARY_RULES.items():
         yield Case(primary_specification(primary), name)
+    yield Case(primary_specification(REPLACEMENT_RULES, 'replacement'), '')
+    for name, replacement in BROKEN_REPLACEMENT_RULES.items():
+        yield Case(primary_specification(replacement, 'replacement'), name)
+    yield Case(primary_specification(EVACUATION_RULES, 'evacuation'), '')
+    for name, evacuation in BROKEN_EVACUATION_RULES.items():
+        yield Case(primary_specification(evacuation, 'evacuation'), name)
     yield Case(loan_specification(), '')
     for name, loan in BROKEN_LOAN_RULES.items():
         yield Case(loan_specification(loan), name)
@@ -71,6 +81,8 @@
             DepartureRules(commit=CommitRules(max_term=2, max_log_length=3))
         ),
         primary_specification(),
+        primary_specification(REPLACEMENT_RULES, 'replacement'),
+        primary_specification(EVACUATION_RULES, 'evacuation'),
         loan_specification(),
         lease_specification(),
         order_specification(),
--- a/libs/statements/siskinsail_statements/__init__.py
+++ b/libs/statements/siskinsail_statements/__init__.py
@@ -21,9 +21,12 @@
 from ._statement import Deallocate as Deallocate
 from ._statement import Discard as Discard
 from ._statement import Execute as Execute
+from ._statement import PauseReplication as PauseReplication
 from ._statement import Prepare as Prepare
 from ._statement import PreparedQuery as PreparedQuery
 from ._statement import Query as Query
+from ._statement import ReplicationStatement as ReplicationStatement
+from ._statement import ResumeReplication as ResumeReplication
 from ._statement import Rollback as Rollback
 from ._statement import SetValue as SetValue
 from ._statement import Status as Status
--- a/libs/statements/siskinsail_statements/_statement.py
+++ b/libs/statements/siskinsail_statements/_statement.py
@@ -6,6 +6,7 @@
 
 from siskinsail_types import Position
 from siskinsail_types import RequestId
+from siskinsail_types import Term
 
 
 class Begin(msgspec.Struct, frozen=True):
@@ -71,6 +72,23 @@
     """Query the role and the positions of a database."""
 
 
+class PauseReplication(msgspec.Struct, frozen=True):
+    """Stop a replica from receiving; answered like ``Status``.
+
+    Parameters
+    ----------
+    term : Term
+        A term above that of the primary.
+    """
+
+    term: Term
+
+
+class ResumeReplication(msgspec.Struct, frozen=True):
+    """Let a paused replica receive again; answered like ``Status``."""
+
+
+ReplicationStatement = Status | PauseReplication | ResumeReplication
 CallerStatement = (
     Begin
     | Commit
@@ -81,7 +99,7 @@
     | Execute
     | Deallocate
 )
-DatabaseStatement = CallerStatement | Discard | Status
+DatabaseStatement = CallerStatement | Discard | ReplicationStatement
 
 
 class Command(NamedTuple):
