Promote a database that is out of service only as the last resort

Cause: a database that drains and one that must not run anything had the same standing in the choice, which preferred the greatest position.

Change: candidates that are out of service have a standing of their own. Those in service are promoted if they include each acknowledged write, or if nothing was promised (sync_replicas 0).

--- a/libs/catalogue/siskinsail_catalogue/_view.py
+++ b/libs/catalogue/siskinsail_catalogue/_view.py
@@ -217,12 +217,47 @@
 
     def accepts_new_work(self, backend: BackendServer) -> bool:
         """Tell whether new work may be sent to a database."""
-        return not (
-            backend.leaving
-            or backend.database in self.databases_out
+        return not (backend.leaving or self.is_out(backend))
+
+    def is_out(self, backend: BackendServer) -> bool:
+        """Tell whether an operator has taken a database out of service.
+
+        A statement of an open transaction may not be sent to it either.
+        """
+        return (
+            backend.database in self.databases_out
             or backend.data_centre in self.data_centres_out
         )
 
+    def is_service_out(self, service: ServiceId) -> bool:
+        """Tell whether operators have taken all its databases out of service.
+
+        No statement can be served then until an operator changes that.
+        """
+        servers = self.group_members.get(service, ())
+        return bool(servers) and all(self.is_out(one) for one in servers)
+
+    def admits_new(self, database: DatabaseId) -> bool:
+        """Tell whether a new statement may be sent to a database now.
+
+        This is the gate for all that reaches databases: single statements,
+        the first one of a transaction, those that another daemon passes on,
+        and queries of positions. It depends on nothing but the view, so that
+        a daemon that was frozen, cut off, idle or has just started, and that
+        holds a lease, decides like all others. A database whose announcements
+        are missing may still answer.
+        """
+        backend = self.databases.get(database)
+        return backend is None or self.accepts_new_work(backend)
+
+    def admits_open(self, database: DatabaseId) -> bool:
+        """Tell whether statements of open transactions may be sent to it.
+
+        A database that drains finishes them.
+        """
+        backend = self.databases.get(database)
+        return backend is None or not self.is_out(backend)
+
 
 class ViewSource(Protocol):
     """Source of the current view and daemon lease for the request path."""
--- a/libs/control/siskinsail_control/_primary_change.py
+++ b/libs/control/siskinsail_control/_primary_change.py
@@ -144,8 +144,7 @@
             return 'no_primary'
         if await self._has_failed(state.primary, state.term):
             return 'failure'
-        # The hold-down time applies to a planned change only if the last
-        # change had to promote a leaving database.
+        # The last change had to promote a database that leaves.
         if self._clock.now_s() < self._planned_change_blocked_until_s:
             return ''
         return 'planned' if self._is_leaving(state.primary) else ''
@@ -302,7 +301,7 @@
             or finished.unwrap().output != ACCEPTED
         ):
             return
-        self._record_completion(state, candidate, term, reason, started_s)
+        self._record_completion(candidate, term, reason, started_s)
 
     async def _wait_turn(self, wait_s: float) -> None:
         if wait_s > 0:
@@ -321,7 +320,6 @@
 
     def _record_completion(
         self,
-        state: GroupState,
         candidate: FencedDatabase,
         term: Term,
         reason: str,
@@ -331,11 +329,7 @@
         self._follow_targets.clear()
         self._watched_since_s = now_s
         if self._is_leaving(candidate.database):
-            # A change that led to the same primary would do so again soon.
-            is_same = candidate.database == state.primary
-            self._planned_change_blocked_until_s = now_s + (
-                self._settings.hold_down_s if is_same else _CATCH_UP_PAUSE_S
-            )
+            self._planned_change_blocked_until_s = now_s + _CATCH_UP_PAUSE_S
         duration_s = now_s - started_s
         self._context.metrics.primary_changes.labels(reason).observe(
             duration_s
@@ -436,12 +430,11 @@
 
     def _candidate(self, fenced: FencedDatabase) -> Candidate:
         view = self._context.view_log.view
-        standing = (
-            Standing.STAYING
-            if view.accepts_new_work(fenced.server)
-            else Standing.LEAVING
-        )
-        return Candidate(fenced, standing)
+        if view.is_out(fenced.server):
+            return Candidate(fenced, Standing.OUT)
+        if fenced.server.leaving:
+            return Candidate(fenced, Standing.LEAVING)
+        return Candidate(fenced, Standing.STAYING)
 
     def _log_choice(self, choice: Choice, candidates: list[Candidate]) -> None:
         log_event(
--- a/libs/control/siskinsail_control/_primary_choice.py
+++ b/libs/control/siskinsail_control/_primary_choice.py
@@ -21,12 +21,21 @@
 class Standing(Enum):
     """Which work a database may still get.
 
-    ``STAYING``: any. ``LEAVING``: it drains or is out of service, so that
-    another primary must follow.
+    ``STAYING``: any. ``LEAVING``: it drains, so that another primary must
+    follow. ``OUT``: an operator has taken it out of service, so that it must
+    not run anything.
     """
 
     STAYING = 'staying'
     LEAVING = 'leaving'
+    OUT = 'out'
+
+
+# Databases to choose from, in the order of preference.
+_PREFERRED_STANDINGS = (
+    (Standing.STAYING,),
+    (Standing.STAYING, Standing.LEAVING),
+)
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -104,7 +113,11 @@
     A set of databases has every acknowledged write in its greatest position
     if it is large enough, or if it has the greatest position of all. The
     database with that position is taken from the databases that stay if they
-    are such a set, otherwise from all.
+    are such a set, otherwise from those that are not out of service if they
+    are. Otherwise only one that is out of service has a write that may have
+    been acknowledged. Where that was promised, it is promoted and runs no
+    statement; the others receive what they lack from it. Where it was not,
+    the most advanced of the others is promoted.
 
     Of databases with equal positions the previous primary is preferred, so
     that a new group keeps the primary that the platform assigned.
@@ -117,14 +130,22 @@
         What an acknowledged write requires.
     """
     best = _best(candidates)
-    staying = [one for one in candidates if one.standing is Standing.STAYING]
-    if staying:
-        best_staying = _best(staying)
+    for standings in _PREFERRED_STANDINGS:
+        able = [one for one in candidates if one.standing in standings]
+        if not able:
+            continue
+        best_able = _best(able)
         if (
-            len(staying) >= durability.required_answers
-            or best_staying.position == best.position
+            len(able) >= durability.required_answers
+            or best_able.position == best.position
         ):
-            return Choice(best_staying, is_final=True)
+            is_final = best_able.standing is Standing.STAYING
+            return Choice(best_able, is_final=is_final)
+    in_service = [
+        one for one in candidates if one.standing is not Standing.OUT
+    ]
+    if in_service and not durability.confirming_replicas:
+        return Choice(_best(in_service), is_final=False)
     return Choice(best, is_final=False)
 
 
--- a/libs/control/siskinsail_control/_settings.py
+++ b/libs/control/siskinsail_control/_settings.py
@@ -46,9 +46,7 @@
     probe_timeout_s : float
         timeout of a probe of a primary
     hold_down_s : float
-        time for which detection takes twice as long after a false detection,
-        and for which no planned change starts after a leaving database was
-        promoted
+        time for which detection takes twice as long after a false detection
     fence_grace_s : float
         time to wait for further databases once a majority is fenced
     admin_timeout_s : float
--- a/libs/control/tests/test_primary_choice.py
+++ b/libs/control/tests/test_primary_choice.py
@@ -16,7 +16,7 @@
 from siskinsail_types import DatabaseRole
 
 MAJORITY = 2
-STAYING, LEAVING = Standing.STAYING, Standing.LEAVING
+STAYING, LEAVING, OUT = Standing
 
 
 def candidate(name, standing, index, *, is_primary=False, term=0):
@@ -128,6 +128,61 @@
     assert choice.is_final is is_final
 
 
+@pytest.mark.parametrize(
+    ('candidates', 'count', 'confirming_replicas', 'expected', 'is_final'),
+    [
+        # Nothing was promised, so the evacuation goes first.
+        ([('a', STAYING, 5), ('c', OUT, 7)], 3, 0, 'a', False),
+        ([('a', LEAVING, 5), ('c', OUT, 7)], 3, 0, 'a', False),
+        # A database that drains may still run something.
+        ([('a', STAYING, 5), ('b', LEAVING, 6)], 3, 0, 'b', False),
+        # Those that are in service have each acknowledged write.
+        (
+            [('a', STAYING, 5), ('b', STAYING, 6), ('c', OUT, 7)],
+            3,
+            1,
+            'b',
+            True,
+        ),
+        (
+            [('a', STAYING, 5), ('b', LEAVING, 6), ('c', OUT, 7)],
+            3,
+            1,
+            'b',
+            False,
+        ),
+        ([('a', STAYING, 7), ('c', OUT, 7)], 3, 1, 'a', True),
+        ([('a', LEAVING, 7), ('c', OUT, 7)], 3, 1, 'a', False),
+        # Only the one that is out has the last writes: it leads and runs
+        # nothing, until the others have them.
+        ([('a', STAYING, 5), ('c', OUT, 7)], 3, 1, 'c', False),
+        # A replacement under way and an evacuation.
+        (
+            [('a', STAYING, 5), ('b', STAYING, 6), ('c', OUT, 7)],
+            4,
+            1,
+            'c',
+            False,
+        ),
+        # All are out: one of them leads when they are taken back.
+        ([('a', OUT, 5), ('c', OUT, 7)], 3, 0, 'c', False),
+        # An evacuation that was taken back.
+        ([('a', STAYING, 5), ('c', STAYING, 7)], 3, 0, 'c', True),
+    ],
+)
+def test_a_database_that_is_out_is_the_last_resort(
+    candidates, count, confirming_replicas, expected, is_final
+):
+    # Fails if a database that must not run anything becomes the primary
+    # although another one has each acknowledged write.
+    choice = choose_primary(
+        [candidate(*one) for one in candidates],
+        durability(count, confirming_replicas),
+    )
+    assert choice.candidate.database == expected
+    assert choice.is_final is is_final
+
+
 @pytest.mark.parametrize(
     ('candidates', 'expected'),
     [
--- a/libs/control/tests/test_replaced_replica.py
+++ b/libs/control/tests/test_replaced_replica.py
@@ -18,7 +18,7 @@
 NEW = 'db3'
 
 
-def _cut(left, right):
+def cut_links(left, right):
     return (
         FaultRule(left, right, cut=True),
         FaultRule(right, left, cut=True),
@@ -44,15 +44,15 @@
         await wait_until(lambda: agent.view.databases[leaving].leaving)
         host = group.host(before.primary)
         rules = (
-            *_cut(host, group.host(other)),
-            *_cut(host, group.host(NEW)),
+            *cut_links(host, group.host(other)),
+            *cut_links(host, group.host(NEW)),
         )
         fleet.set_rules(*rules)
         status, answer = await group.write(before.primary, before.term, 'w')
         assert (status, answer['replicated']) == (200, True)
         if is_answer_missing:
             # The change waits for the answer that may have the last write.
-            fleet.set_rules(*rules, *_cut(group.host(leaving), '127.'))
+            fleet.set_rules(*rules, *cut_links(group.host(leaving), '127.'))
         group.kill(before.primary)
         if is_answer_missing:
             await anyio.sleep(3.0)
