Let the view alone decide which databases get statements

Cause: a primary that leaves or is out got statements for 2 s more, counted from the first look of each daemon, which comes with a request. Read-only transactions were not looked at and went on until their sessions ended. The HTTP interface of siskinsaild had no such check: it wrote to a primary that is out for as long as no other database could follow.

Change: View.admits_new and View.admits_open decide, without a time of the daemon, since the view under which a lease is held is what every daemon knows, also one that was idle, frozen, cut off or restarted. They are asked before each statement, after a wait for a connection, and by holders. A database that drains finishes its open transactions; one that is out gets nothing. If all databases of a service are out, callers are refused at once with the time to come back.

--- a/libs/proxy/siskinsail_proxy/_dispatcher.py
+++ b/libs/proxy/siskinsail_proxy/_dispatcher.py
@@ -43,6 +43,9 @@
 # A change of the lease state does not end a wait for the next view, so the
 # lease is checked at this interval.
 _LEASE_POLL_INTERVAL_S = 0.25
+_OUT_OF_SERVICE = 'the database takes no new work'
+# Operators take databases out of service for longer.
+_OUT_RETRY_AFTER_S = 1.0
 
 
 class PrimaryTarget(NamedTuple):
@@ -149,6 +152,14 @@
                 )
             if target is not None:
                 return Success(target)
+            if view.is_service_out(service):
+                return Failure(
+                    context.error(
+                        ErrorCode.NO_PRIMARY,
+                        'all databases of the service are out of service',
+                        _OUT_RETRY_AFTER_S,
+                    )
+                )
             await self.wait_for_view(context, view, _LEASE_POLL_INTERVAL_S)
 
     async def wait_for_view(
@@ -183,6 +194,8 @@
             refusal = self.check_send(context)
             if refusal is not None:
                 return Failure(refusal)
+            if not self._views.view.admits_new(pool.database):
+                return Failure(PoolClosedError(_OUT_OF_SERVICE))
             request = build_request()
             if isinstance(request, Failure):
                 return Failure(context.with_actual_outcome(request.failure()))
@@ -214,6 +227,8 @@
         connection = acquired.unwrap()
         is_kept = False
         try:
+            if not self._views.view.admits_new(target.pool.database):
+                return Failure(PoolClosedError(_OUT_OF_SERVICE))
             attempt = await self.send_on_connection(
                 context, target, connection, send
             )
@@ -238,6 +253,8 @@
             return Failure(refusal)
         if not self.is_current(target):
             return Failure(PoolClosedError('the primary was replaced'))
+        if not self._views.view.admits_open(target.pool.database):
+            return Failure(PoolClosedError(_OUT_OF_SERVICE))
         scopes = self._primary_scopes.setdefault(target.service, {})
         with anyio.CancelScope() as scope:
             scopes[scope] = target.term
@@ -284,6 +301,7 @@
             group is None
             or group.phase is not GroupPhase.STEADY
             or group.primary is None
+            or not view.admits_new(group.primary)
         ):
             return None
         pool = self._pools.pool(group.primary)
--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -381,8 +381,10 @@
         if not self._phase.accepts_work:
             await self._end(call.transaction, held)
             return None
-        if not held.is_read_write or self._primaries.may_continue(
-            held.service, held.transaction
+        if self._primaries.may_continue(
+            held.service,
+            held.transaction,
+            is_read_only=not held.is_read_write,
         ):
             return held
         await self._end(call.transaction, held)
--- a/libs/statements/siskinsail_statements/_primaries.py
+++ b/libs/statements/siskinsail_statements/_primaries.py
@@ -7,7 +7,6 @@
 from returns.result import Result
 from returns.result import Success
 
-from siskinsail_catalogue import View
 from siskinsail_catalogue import ViewSource
 from siskinsail_types import Clock
 from siskinsail_types import DatabaseId
@@ -23,11 +22,9 @@
 # A change of the lease state does not end a wait for the next view, so the
 # lease is checked at this interval.
 _LEASE_POLL_INTERVAL_S = 0.25
-# A primary that is leaving, or whose data centre is taken out of service,
-# still receives statements for this time. If another database can become the
-# primary, control promotes it in this time.
-_LEAVING_GRACE_S = 2.0
 _RETRY_AFTER_S = 0.5
+# Operators take databases out of service for longer.
+_OUT_RETRY_AFTER_S = 1.0
 
 
 class PrimaryFinder:
@@ -56,22 +53,14 @@
         self._views = views
         self._find_pool = find_pool
         self._clock = clock
-        self._leaving_since_s: dict[DatabaseId, float] = {}
 
     def find(self, service: ServiceId) -> StatementPool | None:
-        """Return the primary that accepts statements, if there is one."""
-        if self._views.lease_state is not LeaseState.HELD:
-            return None
+        """Return the primary that accepts new statements, if there is one."""
+        primary = self._current(service)
         view = self._views.view
-        group = view.group_states.get(service)
-        if (
-            group is None
-            or group.phase is not GroupPhase.STEADY
-            or group.primary is None
-            or not self._accepts_work(view, group.primary)
-        ):
+        if primary not in view.databases or not view.admits_new(primary):
             return None
-        return self._find_pool(group.primary)
+        return self._find_pool(primary)
 
     def is_current(self, service: ServiceId, pool: StatementPool) -> bool:
         """Tell whether a pool still belongs to the current primary."""
@@ -83,14 +72,23 @@
         )
 
     def may_continue(
-        self, service: ServiceId, transaction: OpenTransaction
+        self,
+        service: ServiceId,
+        transaction: OpenTransaction,
+        *,
+        is_read_only: bool,
     ) -> bool:
-        """Tell whether a read-write transaction may go on.
+        """Tell whether a transaction may go on.
 
         A primary that was replaced may not know it yet and would still
-        commit.
+        commit what was written.
         """
-        return self.is_current(service, transaction.pool)
+        pool = transaction.pool
+        if not self._views.view.admits_open(pool.database):
+            return False
+        if is_read_only:
+            return True
+        return self._current(service) == pool.database and not pool.is_closed
 
     async def wait_for_primary(
         self, service: ServiceId, deadline_s: float
@@ -100,6 +98,8 @@
             pool = self.find(service)
             if pool is not None and pool.can_serve:
                 return Success(pool)
+            if self.is_out_of_service(service):
+                return Failure(out_of_service_error())
             view = self._views.view
             remaining_s = deadline_s - self._clock.now_s()
             if remaining_s <= 0:
@@ -118,13 +118,31 @@
         with anyio.move_on_after(timeout_s):
             await self._views.wait_for_change(self._views.view.version)
 
-    def _accepts_work(self, view: View, primary: DatabaseId) -> bool:
-        server = view.databases.get(primary)
-        if server is None:
-            return False
-        if view.accepts_new_work(server):
-            self._leaving_since_s.pop(primary, None)
-            return True
-        now_s = self._clock.now_s()
-        since_s = self._leaving_since_s.setdefault(primary, now_s)
-        return now_s - since_s < _LEAVING_GRACE_S
+    def is_out_of_service(self, service: ServiceId) -> bool:
+        """Tell whether the view in force leaves no database in service."""
+        return (
+            self._views.lease_state is LeaseState.HELD
+            and self._views.view.is_service_out(service)
+        )
+
+    def admits_replica(self, database: DatabaseId) -> bool:
+        """Tell whether a read may still be sent to a replica."""
+        return self._views.view.admits_new(database)
+
+    def _current(self, service: ServiceId) -> DatabaseId | None:
+        """Return the primary of the view, None without a lease."""
+        if self._views.lease_state is not LeaseState.HELD:
+            return None
+        group = self._views.view.group_states.get(service)
+        if group is None or group.phase is not GroupPhase.STEADY:
+            return None
+        return group.primary
+
+
+def out_of_service_error() -> StatementError:
+    """Return the error for a service without a database in service."""
+    return StatementError(
+        StatementErrorCode.BUSY,
+        'all databases of the service are out of service',
+        _OUT_RETRY_AFTER_S,
+    )
--- a/libs/statements/siskinsail_statements/_runner.py
+++ b/libs/statements/siskinsail_statements/_runner.py
@@ -25,6 +25,7 @@
 from ._outcome import StatementErrorCode
 from ._ports import StatementConnection
 from ._positions import ReadBound
+from ._primaries import out_of_service_error
 from ._primaries import PrimaryFinder
 from ._replicas import ReplicaSelector
 from ._settings import StatementSettings
@@ -124,10 +125,16 @@
         )
 
     def may_continue(
-        self, service: ServiceId, transaction: OpenTransaction
+        self,
+        service: ServiceId,
+        transaction: OpenTransaction,
+        *,
+        is_read_only: bool,
     ) -> bool:
-        """Tell whether a read-write transaction may go on."""
-        return self._primaries.may_continue(service, transaction)
+        """Tell whether a transaction may go on."""
+        return self._primaries.may_continue(
+            service, transaction, is_read_only=is_read_only
+        )
 
     async def write(
         self, operation: Operation, statement: Query | Execute
@@ -205,6 +212,10 @@
         while True:
             is_busy = False
             targets = self._targets(operation, needs_primary)
+            if not targets and self._primaries.is_out_of_service(
+                operation.service
+            ):
+                return Failure(out_of_service_error())
             if not (
                 targets or needs_primary
             ) and self._has_no_connection_until_lease(operation):
--- a/libs/statements/siskinsail_statements/_session.py
+++ b/libs/statements/siskinsail_statements/_session.py
@@ -392,7 +392,7 @@
         if isinstance(checked, Failure):
             return Failure(checked.failure())
         if self._transaction is not None:
-            return self._check_primary(self._transaction)
+            return self._check_database(self._transaction)
         if self._begin_statement is None or self._authorization is None:
             return Failure(_aborted_error('no transaction is open'))
         operation = self._make_operation(
@@ -408,23 +408,23 @@
             self._transaction = opened.unwrap()
         return opened
 
-    def _check_primary(
+    def _check_database(
         self, transaction: OpenTransaction
     ) -> Result[OpenTransaction, StatementError]:
-        """Return an open transaction, unless its primary was replaced."""
+        """Return an open transaction, unless its database may not go on."""
         is_read_only = (
             self._begin_statement is not None
             and self._begin_statement.is_read_only
         )
-        if (
-            is_read_only
-            or self._authorization is None
-            or self._context.runner.may_continue(
-                self._authorization.route.service, transaction
-            )
+        if self._authorization is None or self._context.runner.may_continue(
+            self._authorization.route.service,
+            transaction,
+            is_read_only=is_read_only,
         ):
             return Success(transaction)
-        return Failure(_aborted_error('the primary is being replaced'))
+        return Failure(
+            _aborted_error('the database is replaced or out of service')
+        )
 
     async def _authorize(
         self, received_s: float
--- a/libs/statements/siskinsail_statements/_statement_sender.py
+++ b/libs/statements/siskinsail_statements/_statement_sender.py
@@ -133,11 +133,12 @@
             return Failure(acquired.failure())
         connection = acquired.unwrap()
         try:
-            # The primary may have been replaced during the wait.
-            if target.is_primary and not self._primaries.is_current(
-                operation.service, pool
-            ):
-                return Failure(PoolClosedError('the primary was replaced'))
+            # The database may have been replaced or taken out of service
+            # during the wait.
+            if not self._may_send(operation, target):
+                return Failure(
+                    PoolClosedError('the database takes no new work')
+                )
             sent_s = self._clock.now_s()
             if sent_s >= deadline_s:
                 return Failure(PoolClosedError('the deadline has passed'))
@@ -169,6 +170,11 @@
             if not kept_connections:
                 pool.release(connection)
 
+    def _may_send(self, operation: Operation, target: DatabaseTarget) -> bool:
+        if target.is_primary:
+            return self._primaries.is_current(operation.service, target.pool)
+        return self._primaries.admits_replica(target.pool.database)
+
     def _count(self, operation: Operation) -> WindowId | None:
         """Count an operation once, when it is first sent to a database."""
         if (
