Give back the connection of a rollback whose caller is lost

Cause: the calls of a daemon are cancelled when its connection is lost. A holder that was rolling a transaction back had removed it from its table by then, so that nobody gave the connection back: the pool kept it as busy, and later statements of the account waited for it.

Change: the connection is closed and released also when the task is cancelled. While a statement of the transaction runs, the transaction stays in the table, so that the next check ends it if the task of the statement is cancelled too.

Measured: test_a_holder_gives_a_connection_back_after_a_lost_rollback failed in both rows before (the connection stayed busy for the 5 s of the wait) and passes; libs/statements passed.

--- a/libs/statements/siskinsail_statements/_held_transactions.py
+++ b/libs/statements/siskinsail_statements/_held_transactions.py
@@ -40,6 +40,10 @@
     request_id: RequestId
     is_running: bool = False
 
+    def end_when_idle(self) -> None:
+        """Let the transaction end at the next check without a statement."""
+        self.idle_s = -math.inf
+
 
 class HeldTransactions:
     """Open transactions by number.
@@ -85,7 +89,7 @@
     def end_idle(self) -> None:
         """End transactions at the next check, unless a statement runs."""
         for held in self._held.values():
-            held.idle_s = -math.inf
+            held.end_when_idle()
 
     async def run(self) -> None:
         """End transactions that are idle for too long, until cancelled."""
@@ -118,5 +122,25 @@
 
 async def end_transaction(transaction: OpenTransaction) -> None:
     """Close the connection of a transaction, so that it is rolled back."""
-    await transaction.connection.aclose()
-    transaction.pool.release(transaction.connection)
+    try:
+        await transaction.connection.aclose()
+    finally:
+        transaction.pool.release(transaction.connection)
+
+
+async def roll_back_transaction(
+    transaction: OpenTransaction, timeout_s: float
+) -> None:
+    """Roll back a transaction and give its connection back.
+
+    Also if the task is cancelled, since nobody else knows the transaction any
+    more. The connection is closed then.
+    """
+    connection = transaction.connection
+    try:
+        await connection.rollback(timeout_s)
+    finally:
+        if connection.is_in_transaction:
+            with anyio.CancelScope(shield=True):
+                await connection.aclose()
+        transaction.pool.release(connection)
--- a/libs/statements/siskinsail_statements/_holder_service.py
+++ b/libs/statements/siskinsail_statements/_holder_service.py
@@ -41,6 +41,7 @@
 from ._held_transactions import end_transaction
 from ._held_transactions import HeldTransaction
 from ._held_transactions import HeldTransactions
+from ._held_transactions import roll_back_transaction
 from ._holder_loads import HolderLoads
 from ._load_figures import with_load
 from ._metrics import StatementMetrics
@@ -338,13 +339,14 @@
         held = self._transactions.find(call.transaction, caller)
         if held is None:
             return transaction_unknown()
-        self._transactions.remove(call.transaction)
         if held.is_running:
-            # The statement that is running ends with its connection.
+            # The statement that is running ends with its connection. Its task
+            # gives that back, or the next check if the task is cancelled.
+            held.end_when_idle()
             await held.transaction.connection.aclose()
         else:
-            await held.transaction.connection.rollback(_ROLLBACK_TIMEOUT_S)
-            held.transaction.pool.release(held.transaction.connection)
+            self._transactions.remove(call.transaction)
+            await roll_back_transaction(held.transaction, _ROLLBACK_TIMEOUT_S)
         return ForwardedAnswer(ForwardedOutcome.ANSWERED)
 
     async def _answer_position(
--- a/libs/statements/tests/statement_group.py
+++ b/libs/statements/tests/statement_group.py
@@ -88,6 +88,7 @@
     index: int = 10
     term_start_index: int = 0
     delay_s: float = 0.0
+    rollback_s: float = 0.0
     is_down: bool = False
     max_connections: int = 100
     queued_answers: list = field(default_factory=list)
@@ -155,6 +156,7 @@
                 self.values.clear()
                 self.prepared.clear()
             case Rollback():
+                await anyio.sleep(database.rollback_s)
                 self.state = TransactionState.IDLE
             case Begin(is_read_only):
                 return self.begin(command, is_read_only)
--- a/libs/statements/tests/test_holders.py
+++ b/libs/statements/tests/test_holders.py
@@ -467,3 +467,52 @@
         assert set(confirmed) <= set(commits)
         assert not set(promised) & set(commits)
         assert len(confirmed) > 30
+
+
+@pytest.mark.parametrize('is_statement_running', [False, True])
+async def test_a_holder_gives_a_connection_back_after_a_lost_rollback(
+    is_statement_running,
+):
+    """Guards against a connection that no transaction gets any more.
+
+    The calls of a daemon are cancelled when its connection is lost.
+    """
+    async with new_fleet(connections=1) as fleet:
+        holder = fleet.daemons[fleet.holders()[0]]
+        database = fleet.group.databases['d0']
+        handle = holder.service.holder.handle
+
+        async def call(action, transaction=0):
+            forwarded = ForwardedCall(
+                action,
+                'orders',
+                'd0',
+                'agents',
+                action.value,
+                'WRITE 1 x',
+                is_write=True,
+                needs_primary=True,
+                timeout_s=2.0,
+                objective_s=1.0,
+                transaction=transaction,
+            )
+            return decode_answer(
+                await handle('another', encode_call(forwarded))
+            )
+
+        begun = await call(ForwardedAction.BEGIN)
+        number = begun.transaction
+        database.rollback_s = database.delay_s = 1.0
+        with anyio.move_on_after(0.2):
+            async with anyio.create_task_group() as tasks:
+                if is_statement_running:
+                    tasks.start_soon(
+                        call, ForwardedAction.RUN_IN_TRANSACTION, number
+                    )
+                    await anyio.sleep(0.05)
+                tasks.start_soon(call, ForwardedAction.ROLLBACK, number)
+        database.rollback_s = database.delay_s = 0.0
+        pool = holder.pools.pool('d0')
+        await wait_until(lambda: pool.busy_connections == 0)
+        answer = await call(ForwardedAction.RUN)
+        assert answer.outcome is ForwardedOutcome.ANSWERED
