Answer a call whose answer is too large with that reason

Cause: an answer above 4 MiB failed while it was sent, outside of what the peer server expects, and ended the connection between two daemons with all calls on it. A caller with a result of that size made other callers' writes end in doubt.

Change: nothing has been sent when the size is found out, so the call is answered with the error and the connection goes on. A holder is not taken for unresponsive because of it.

--- a/libs/consensus/tests/test_departure.py
+++ b/libs/consensus/tests/test_departure.py
@@ -230,4 +230,7 @@
             await replica.hand_over()
             await replica.give_up_vote()
         assert departing not in voters(cluster, leader)
+        await cluster.propose(b'2')
+        remaining = sorted({*NAMES, 'd'} - {departing})
+        await cluster.wait_for_commands([b'1', b'2'], *remaining)
         assert replica._state.membership.get(departing) is not None
--- a/libs/net/siskinsail_net/_peer_server.py
+++ b/libs/net/siskinsail_net/_peer_server.py
@@ -219,7 +219,7 @@
         try:
             answer = await self._run_handler(caller, request)
             try:
-                await frames.send(answer.frame)
+                await self._send_answer(frames, answer.frame)
             finally:
                 if answer.reservation is not None:
                     answer.reservation.close()
@@ -229,6 +229,22 @@
             reservation.close()
             in_flight.release()
 
+    async def _send_answer(self, frames: FrameStream, answer: Frame) -> None:
+        """Send an answer, or the reason why it is too large to be sent.
+
+        Nothing of it has been sent then, so the other calls on the connection
+        go on.
+        """
+        try:
+            await frames.send(answer)
+        except LimitExceededError as error:
+            log_event('peer_answer_too_large', reason=str(error))
+            await frames.send(
+                _failure_frame(
+                    answer.request_id, type(error).__name__, str(error)
+                )
+            )
+
     async def _run_handler(self, caller: VmId, request: Frame) -> _Response:
         handler = self._handlers.get(request.method)
         if handler is None:
--- a/libs/net/tests/test_peer.py
+++ b/libs/net/tests/test_peer.py
@@ -16,6 +16,7 @@
 from siskinsail_net import encode_frame
 from siskinsail_net import Frame
 from siskinsail_net import FrameKind
+from siskinsail_net import MAX_FRAME_BYTES
 from siskinsail_net import PeerCallError
 from siskinsail_net import PeerClient
 from siskinsail_net import PeerClients
@@ -119,6 +120,32 @@
     assert responses == [b'0', b'0.1', b'0.2']
 
 
+async def test_an_answer_that_is_too_large_ends_only_its_own_call():
+    # Fails if one large answer ends the connection and with it the calls of
+    # all other callers of that daemon.
+    server, make_client = _make_server_and_client_factory('s', 's')
+
+    async def answer_large(caller: VmId, payload: bytes) -> bytes:
+        return b'x' * (MAX_FRAME_BYTES + 1)
+
+    server.register('large', answer_large)
+    answers: list[bytes] = []
+    async with anyio.create_task_group() as tasks:
+        client = make_client(await tasks.start(server.serve, LOCAL))
+        tasks.start_soon(client.run)
+
+        async def call_slowly() -> None:
+            answers.append(await client.call('echo', b'0.5', 5))
+
+        async with anyio.create_task_group() as calls:
+            calls.start_soon(call_slowly)
+            await anyio.sleep(0.1)
+            with pytest.raises(PeerCallError, match='exceeds the size limit'):
+                await client.call('large', b'', 5)
+        assert answers == [b'client:0.5']
+        tasks.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize('last_bytes', [b'', b'\0\0\0\3abc', b'\xff' * 4])
 async def test_a_disconnect_or_invalid_frame_does_not_stop_the_server(
     last_bytes: bytes,
--- a/libs/statements/siskinsail_statements/_forwarder.py
+++ b/libs/statements/siskinsail_statements/_forwarder.py
@@ -33,6 +33,7 @@
 from siskinsail_types import LimitExceededError
 from siskinsail_types import ProtocolError
 from siskinsail_types import Secret
+from siskinsail_types import SiskinsailError
 from siskinsail_types import TransportError
 from siskinsail_types import VmId
 
@@ -405,8 +406,10 @@
             self._log_dropped(call, error.size_bytes)
             raise HolderLostError(str(error)) from error
         except (TransportError, ProtocolError, PeerCallError) as error:
-            # A call with little time left says nothing about the holder.
-            if timeout_s >= self._settings.unanswered_s:
+            # A call with little time left says nothing about the holder, nor
+            # does an answer that is too large to be sent.
+            is_enough = timeout_s >= self._settings.unanswered_s
+            if is_enough and not _is_answer_too_large(error):
                 self._record_failure(daemon, str(error))
             raise HolderLostError(str(error)) from error
         try:
@@ -490,3 +493,10 @@
         self._health.forget_others(known)
         if self._balancer is not None:
             self._balancer.forget_others(known)
+
+
+def _is_answer_too_large(error: SiskinsailError) -> bool:
+    return (
+        isinstance(error, PeerCallError)
+        and error.error_type == LimitExceededError.__name__
+    )
