--- a/libs/control/siskinsail_control/_primary_change.py
+++ b/libs/control/siskinsail_control/_primary_change.py
@@ -1,7 +1,5 @@
 """Failover and planned changes of the primary of a database group."""
 
-import math
-
 import anyio
 from returns.result import Success
 
@@ -20,26 +18,22 @@
 from ._commands import FinishPrimaryChange
 from ._commands import RegisterGroup
 from ._commands import StartPrimaryChange
+from ._fencing import GroupFencing
+from ._fencing import RETRY_DELAY_S
 from ._leader_context import LeaderContext
 from ._primary_choice import can_catch_up
 from ._primary_choice import Candidate
 from ._primary_choice import Choice
 from ._primary_choice import choose_primary
 from ._primary_choice import Standing
-from ._primary_choice import WriteDurability
 from ._state import ACCEPTED
 
-# Pause before databases that did not answer are fenced again.
-RETRY_DELAY_S = 0.1
 # Time for which a planned change waits until a database that stays has caught
 # up with the primary.
 _CATCH_UP_TIMEOUT_S = 1.0
 # Time in which the others catch up with a database that was promoted although
 # it leaves.
 _CATCH_UP_PAUSE_S = 1.0
-# Databases announce themselves at least this often to be members, so an answer
-# that is missing for longer is reported.
-_MISSING_ANSWER_LOG_S = 5.0
 
 
 class GroupManager:
@@ -62,6 +56,7 @@
         self._clock = context.clock
         self._membership = context.membership
         self._admin = context.admin
+        self._fencing = GroupFencing(group, context)
         # No evidence of the primary can be expected from before this time.
         self._watched_since_s = context.clock.now_s()
         self._held_down_until_s = 0.0
@@ -74,7 +69,6 @@
         self._last_failed_probe_s = 0.0
         self._was_probe_refused = False
         self._follow_targets: dict[DatabaseId, tuple[str, Term]] = {}
-        self._primary_alive_s = -math.inf
 
     async def run(self) -> None:
         """Monitor the group and change its primary until cancelled."""
@@ -255,7 +249,7 @@
     async def _change(self, state: GroupState, reason: str) -> None:
         started_s = self._clock.now_s()
         servers = self._membership.group_members(self._group)
-        self._primary_alive_s = self._primary_alive_at(state)
+        self._fencing.begin(state)
         highest_known_term = max(
             (server.term for server in servers), default=Term(0)
         )
@@ -282,7 +276,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._context.daemon_table.wait_settled, version)
             tasks.start_soon(self._wait_turn, wait_s)
-            fenced = await self._fence(term)
+            fenced = await self._fencing.fence(term)
         candidate = await self._choose_candidate(term, fenced)
         if not self._context.holds_leader_lease:
             return
@@ -342,68 +336,6 @@
             duration_s=round(duration_s, 3),
         )
 
-    async def _fence(self, term: Term) -> list[FencedDatabase]:
-        """Fence databases until those that answered suffice for a choice."""
-        fenced: dict[DatabaseId, FencedDatabase] = {}
-        logged_s = self._clock.now_s()
-        while True:
-            done = anyio.Event()
-            with anyio.move_on_after(self._settings.admin_timeout_s) as scope:
-                async with anyio.create_task_group() as tasks:
-                    for server in self._membership.known_servers(self._group):
-                        if server.database not in fenced:
-                            tasks.start_soon(
-                                self._fence_one, server, term, fenced, done
-                            )
-                    tasks.start_soon(self._limit_fencing, done, scope)
-            if len(fenced) >= self._durability().required_answers:
-                return list(fenced.values())
-            if self._clock.now_s() - logged_s >= _MISSING_ANSWER_LOG_S:
-                logged_s = self._clock.now_s()
-                self._log_missing_answers(fenced)
-            await anyio.sleep(RETRY_DELAY_S)
-
-    async def _fence_one(
-        self,
-        server: BackendServer,
-        term: Term,
-        fenced: dict[DatabaseId, FencedDatabase],
-        done: anyio.Event,
-    ) -> None:
-        durability = self._durability()
-        answer = await self._admin.fence(
-            server,
-            term,
-            stops_replication=durability.confirming_replicas > 0,
-        )
-        if answer is not None:
-            fenced[server.database] = answer
-        if len(fenced) >= durability.required_answers:
-            done.set()
-
-    def _log_missing_answers(
-        self, fenced: dict[DatabaseId, FencedDatabase]
-    ) -> None:
-        """Log which databases may hold writes that no other one has."""
-        holders = self._possible_holders()
-        log_event(
-            'control_primary_change_waits',
-            group=self._group,
-            answered=sorted(fenced),
-            missing=sorted({one.database for one in holders} - fenced.keys()),
-            required=self._durability().required_answers,
-        )
-
-    async def _limit_fencing(
-        self, done: anyio.Event, scope: anyio.CancelScope
-    ) -> None:
-        """End the fencing shortly after enough databases are fenced."""
-        with anyio.move_on_after(self._settings.admin_timeout_s):
-            await done.wait()
-            scope.deadline = (
-                anyio.current_time() + self._settings.fence_grace_s
-            )
-
     async def _choose_candidate(
         self, term: Term, fenced: list[FencedDatabase]
     ) -> FencedDatabase:
@@ -415,7 +347,7 @@
         deadline_s = self._clock.now_s() + _CATCH_UP_TIMEOUT_S
         while True:
             candidates = [self._candidate(one) for one in fenced]
-            choice = choose_primary(candidates, self._durability())
+            choice = choose_primary(candidates, self._fencing.durability())
             if (
                 choice.is_final
                 or not can_catch_up(candidates)
@@ -426,7 +358,7 @@
             for one in fenced:
                 await self._admin.resume_replication(one.server)
             await anyio.sleep(RETRY_DELAY_S)
-            fenced = await self._fence(term)
+            fenced = await self._fencing.fence(term)
 
     def _candidate(self, fenced: FencedDatabase) -> Candidate:
         view = self._context.view_log.view
@@ -442,45 +374,13 @@
             group=self._group,
             database=choice.candidate.database,
             is_final=choice.is_final,
-            required=self._durability().required_answers,
+            required=self._fencing.durability().required_answers,
             candidates={
                 one.database: f'{one.standing.value} at {one.position}'
                 for one in candidates
             },
         )
 
-    def _primary_alive_at(self, state: GroupState) -> float:
-        """Return when the primary was alive, minus infinity if unknown."""
-        if state.primary is None:
-            return -math.inf
-        return self._membership.evidence_s(state.primary, state.term)
-
-    def _possible_holders(self) -> tuple[BackendServer, ...]:
-        return self._membership.possible_holders(
-            self._group, self._primary_alive_s
-        )
-
-    def _durability(self) -> WriteDurability:
-        """Return what the acknowledgement of a write says at this time."""
-        holders = self._possible_holders()
-        count = len(holders)
-        states_terms = any(server.has_term for server in holders)
-        has_primary = any(
-            server.role is DatabaseRole.PRIMARY for server in holders
-        )
-        if not states_terms and not has_primary:
-            # The platform gave the group a primary that this leader has not
-            # heard of.
-            count += 1
-        service = self._context.view_log.view.services.get(self._group)
-        replicas = 0 if service is None else service.confirming_replicas
-        # Writes to databases that state their terms wait for a replica.
-        return WriteDurability(
-            count,
-            max(replicas, 1) if states_terms else replicas,
-            self._settings.majority,
-        )
-
     async def _redirect_followers(self, state: GroupState) -> None:
         """Order databases that do not follow the primary to follow it."""
         if state.primary is None:
