--- a/libs/consensus/tests/cluster.py
+++ b/libs/consensus/tests/cluster.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from contextlib import asynccontextmanager
 import os
 from pathlib import Path
 import random
@@ -246,3 +247,37 @@
                 tasks.cancel_scope.cancel()
         finally:
             self._stopped[name].set()
+
+
+@asynccontextmanager
+async def running_cluster(folder: Path, **settings: object):
+    """Run a cluster whose members find each other at any address."""
+    async with anyio.create_task_group() as tasks:
+        cluster = Cluster(
+            tasks,
+            folder,
+            resolve_address=lambda name: cluster.addresses.get(name),
+            **settings,
+        )
+        await cluster.start_all()
+        yield cluster
+        tasks.cancel_scope.cancel()
+
+
+def voters(cluster: Cluster, name: str) -> list[str]:
+    """Return the committed voters that a member knows."""
+    return sorted(
+        member.name
+        for member in cluster.replicas[name].members()
+        if member.is_voter
+    )
+
+
+async def wait_for_voters(cluster: Cluster, expected: list[str]) -> None:
+    def is_reached() -> bool:
+        return any(
+            voters(cluster, name) == sorted(expected)
+            for name in cluster.leaders()
+        )
+
+    await eventually(is_reached, f'voters {expected}')
--- a/libs/consensus/tests/test_departure.py
+++ b/libs/consensus/tests/test_departure.py
@@ -1,13 +1,12 @@
 """Guards the planned departure of a voter, with and without a successor."""
 
-from contextlib import asynccontextmanager
-
 import anyio
 import pytest
 
-from .cluster import Cluster
-from .cluster import eventually
 from .cluster import NAMES
+from .cluster import running_cluster
+from .cluster import voters
+from .cluster import wait_for_voters
 
 pytestmark = pytest.mark.anyio
 # Long enough that no test reaches it: only a departure changes the members.
@@ -17,38 +16,6 @@
 PROMPT_S = 1.0
 
 
-@asynccontextmanager
-async def running_cluster(folder, **settings):
-    async with anyio.create_task_group() as tasks:
-        cluster = Cluster(
-            tasks,
-            folder,
-            resolve_address=lambda name: cluster.addresses.get(name),
-            **{'replace_after_s': REPLACE_AFTER_S, **settings},
-        )
-        await cluster.start_all()
-        yield cluster
-        tasks.cancel_scope.cancel()
-
-
-def voters(cluster, name):
-    return sorted(
-        member.name
-        for member in cluster.replicas[name].members()
-        if member.is_voter
-    )
-
-
-async def wait_for_voters(cluster, expected):
-    def is_reached():
-        return any(
-            voters(cluster, name) == sorted(expected)
-            for name in cluster.leaders()
-        )
-
-    await eventually(is_reached, f'voters {expected}')
-
-
 async def stop_as_planned(cluster, name):
     """Stop a member as its program does, and return the time taken."""
     started_s = anyio.current_time()
@@ -77,7 +44,9 @@
 ):
     # Fails if a member that stops for good stays a voter: the loss of one
     # more disk right after its end then leaves no majority.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         await start_successor(cluster, 'd')
         leader = await cluster.leader()
@@ -98,7 +67,9 @@
 async def test_a_restart_in_place_gives_up_no_vote(tmp_path, is_leader):
     # Fails if a rolling restart without a successor changes the membership,
     # or waits for a successor that does not come.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         leader = await cluster.leader()
         # A leader knows the joining members after this time.
@@ -116,7 +87,9 @@
 async def test_three_stops_in_a_row_leave_a_group_that_elects(tmp_path):
     # Fails if a member that has stopped as planned stays a voter, or if the
     # last one cannot become leader.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         await start_successor(cluster, 'd')
         await start_successor(cluster, 'e')
@@ -133,7 +106,9 @@
 
 async def test_a_leader_stops_while_another_voter_departs(tmp_path):
     # Fails if the next leader forgets the departure that is under way.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         await start_successor(cluster, 'd')
         await start_successor(cluster, 'e')
@@ -149,7 +124,9 @@
 
 async def test_only_one_of_two_successors_becomes_a_voter(tmp_path):
     # Fails if a departure adds more members than it removes.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         await start_successor(cluster, 'd')
         await start_successor(cluster, 'e')
@@ -182,7 +159,9 @@
 
 async def test_a_stop_without_a_quorum_ends_in_time(tmp_path):
     # Fails if the departure waits for a leader that cannot be elected.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         leader = await cluster.leader()
         others = [name for name in NAMES if name != leader]
@@ -196,7 +175,9 @@
 async def test_a_removed_member_with_an_old_view_does_not_disrupt(tmp_path):
     # Fails if a member that was removed starts again at its address and
     # stands for election against the others.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         await start_successor(cluster, 'd')
         leader = await cluster.leader()
@@ -220,7 +201,9 @@
     # Fails if the leader sends the removal to the member that it removes: if
     # no other member has it yet, the loss of the leader's disk leaves a log
     # that is newer than that of every voter.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         await start_successor(cluster, 'd')
         leader = await cluster.leader()
--- a/libs/consensus/tests/test_other_addresses.py
+++ b/libs/consensus/tests/test_other_addresses.py
@@ -1,50 +1,18 @@
 """Guards the replacement of failed members by members at other addresses."""
 
-from contextlib import asynccontextmanager
-
 import anyio
 import pytest
 
 from .cluster import Cluster
-from .cluster import eventually
 from .cluster import NAMES
+from .cluster import running_cluster
+from .cluster import voters
+from .cluster import wait_for_voters
 
 pytestmark = pytest.mark.anyio
 REPLACE_AFTER_S = 0.5
 
 
-@asynccontextmanager
-async def running_cluster(folder, **settings):
-    async with anyio.create_task_group() as tasks:
-        cluster = Cluster(
-            tasks,
-            folder,
-            resolve_address=lambda name: cluster.addresses.get(name),
-            replace_after_s=REPLACE_AFTER_S,
-            **settings,
-        )
-        await cluster.start_all()
-        yield cluster
-        tasks.cancel_scope.cancel()
-
-
-def voters(cluster, name):
-    return sorted(
-        member.name
-        for member in cluster.replicas[name].members()
-        if member.is_voter
-    )
-
-
-async def wait_for_voters(cluster, expected):
-    def is_reached():
-        return any(
-            voters(cluster, name) == expected for name in cluster.leaders()
-        )
-
-    await eventually(is_reached, f'voters {expected}')
-
-
 async def replace_member(cluster, lost):
     """Replace a failed member by ``d`` and return the new voters."""
     await cluster.stop(lost)
@@ -56,7 +24,9 @@
 
 async def test_another_member_replaces_a_failed_one(tmp_path):
     # Fails if the new member becomes a voter without the committed entries.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         leader = await cluster.leader()
         lost = next(name for name in NAMES if name != leader)
@@ -72,7 +42,9 @@
 
 
 async def test_a_failed_leader_is_replaced(tmp_path):
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         # A new leader must be elected before the membership can change.
         lost = await cluster.leader()
@@ -84,7 +56,9 @@
 async def test_a_replaced_member_that_returns_does_not_disrupt(tmp_path):
     # Fails if a replaced member starts elections or becomes a voter again
     # while no other member has failed.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         leader = await cluster.leader()
         lost = next(name for name in NAMES if name != leader)
@@ -107,7 +81,9 @@
 
 async def test_members_that_respond_are_not_replaced(tmp_path):
     # Fails if an additional member displaces a voter that has not failed.
-    async with running_cluster(tmp_path) as cluster:
+    async with running_cluster(
+        tmp_path, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         await cluster.start('d', may_bootstrap=False)
         await anyio.sleep(3 * REPLACE_AFTER_S)
@@ -118,7 +94,9 @@
 async def test_members_are_added_up_to_the_target_number(tmp_path):
     # Fails if the cluster keeps the size of its initial membership although
     # more voters are configured.
-    async with running_cluster(tmp_path, target_voters=5) as cluster:
+    async with running_cluster(
+        tmp_path, target_voters=5, replace_after_s=REPLACE_AFTER_S
+    ) as cluster:
         await cluster.propose(b'1')
         for name in ('d', 'e'):
             await cluster.start(name, may_bootstrap=False)
--- a/libs/daemon/siskinsail_daemon/_daemon.py
+++ b/libs/daemon/siskinsail_daemon/_daemon.py
@@ -35,7 +35,7 @@
 from ._readiness import Readiness
 from ._settings import DaemonSettings
 
-LEADER_TRANSFER_TIMEOUT_S = 2.0
+LEAVE_TIMEOUT_S = 2.0
 # Time limits at the end of a planned stop.
 _RELEASE_S = 5.0
 _CLOSE_S = 1.0
@@ -176,7 +176,7 @@
         """Give back lease, tokens, connections and leadership."""
         await self._agent.stop()
         if self._control_role is not None:
-            with anyio.move_on_after(LEADER_TRANSFER_TIMEOUT_S):
+            with anyio.move_on_after(LEAVE_TIMEOUT_S):
                 await self._control_role.leave()
 
     def _make_agent(
