Give each test process its own ports, and expect the choice in the timeline

Each process has its own part of the range now and does not repeat recent ports.

The timeline of a change of primary has a new event, control_primary_chosen, between its start and its end. tests/test_operator_tool.py names all events of the change in their order, so it names this one as well.

--- a/libs/bench/siskinsail_bench/_process.py
+++ b/libs/bench/siskinsail_bench/_process.py
@@ -1,5 +1,6 @@
 """Operating system processes of a fleet."""
 
+from collections import deque
 from collections.abc import Mapping
 import contextlib
 from dataclasses import dataclass
@@ -18,7 +19,11 @@
 # Below the ephemeral port range of Linux, so that outgoing connections do not
 # take a port before its process starts.
 _PORT_RANGE = range(12000, 32000)
+_PORTS_PER_PROCESS = 500
 _MAX_PORT_ATTEMPTS = 100
+# Ports of a host that were returned last and may not be in use yet.
+_MAX_RECENT_PORTS = 200
+_recent_ports: dict[str, deque[int]] = {}
 _EXIT_TIMEOUT_S = 10.0
 # Long enough for a traceback.
 _MAX_OUTPUT_CHARACTERS = 2000
@@ -33,15 +38,32 @@
 
 
 def free_address(host: str) -> Address:
-    """Return an unused address of ``host``."""
+    """Return an unused address of ``host``.
+
+    Its process binds the port later. Until then this process does not return
+    it again, and fleets of other test processes take theirs from other parts
+    of the range.
+    """
+    recent = _recent_ports.setdefault(host, deque(maxlen=_MAX_RECENT_PORTS))
+    ports = port_range(os.getpid())
     for _ in range(_MAX_PORT_ATTEMPTS):
-        port = random.choice(_PORT_RANGE)
+        port = random.choice(ports)
+        if port in recent:
+            continue
         with socket.socket() as probe_socket, contextlib.suppress(OSError):
             probe_socket.bind((host, port))
+            recent.append(port)
             return Address(host, port)
     raise FleetError(f'no free port on {host}')
 
 
+def port_range(process_id: int) -> range:
+    """Return the part of the range from which a process takes its ports."""
+    part_count = len(_PORT_RANGE) // _PORTS_PER_PROCESS
+    first = process_id % part_count * _PORTS_PER_PROCESS
+    return _PORT_RANGE[first : first + _PORTS_PER_PROCESS]
+
+
 def program_path(name: str) -> str:
     """Return the path of a program in the current Python environment."""
     return str(Path(sys.executable).with_name(name))
--- a/tests/test_operator_tool.py
+++ b/tests/test_operator_tool.py
@@ -194,6 +194,7 @@
         assert names == [
             'order-1',
             'control_primary_change_started',
+            'control_primary_chosen',
             'control_primary_change_done',
             'order-1',
             'order-1',
